--- a/crates/catalogue/src/check.rs
+++ b/crates/catalogue/src/check.rs
@@ -1,7 +1,7 @@
 //! Rules that entries must meet, alone and together.
 
 use {
-    crate::Entry,
+    crate::{ANY_METHOD, Entry},
     derive_more::{Display, Error},
     std::sync::Arc,
 };
@@ -22,6 +22,12 @@
 
 const MAX_PATH_BYTES: usize = 1_024;
 
+/// Longest host name of the domain name system.
+const MAX_HOST_BYTES: usize = 253;
+
+/// Services that one entry can be divided among.
+pub const MAX_SPLIT: usize = 64;
+
 /// Methods that an entry can name, with whether they are safe in the sense of RFC 9110.
 const METHODS: [(&str, bool); 7] = [
     ("GET", true),
@@ -70,7 +76,7 @@
 #[must_use]
 pub fn overlaps<'a>(entries: impl IntoIterator<Item = &'a Entry>) -> Vec<Overlap<'a>> {
     let mut sorted: Vec<&Entry> = entries.into_iter().collect();
-    sorted.sort_by_key(|entry| (&entry.method, &entry.path_prefix, &entry.name));
+    sorted.sort_by_key(|entry| (&entry.host, &entry.method, &entry.path_prefix, &entry.name));
     // All entries of the chain contain the current one, because the prefixes are sorted.
     let mut chain: Vec<&Entry> = Vec::new();
     let mut found = Vec::new();
@@ -109,6 +115,8 @@
                 MAX_CONCURRENCY.into(),
             ),
             self.at_most_once_problem(),
+            self.host_problem(),
+            self.split_problem(),
         ]
         .into_iter()
         .flatten()
@@ -127,7 +135,8 @@
     }
 
     fn method_problem(&self) -> Option<EntryProblem> {
-        if METHODS.iter().any(|(method, _)| *method == self.method) {
+        let is_known = METHODS.iter().any(|(method, _)| *method == self.method);
+        if is_known || self.method == ANY_METHOD {
             return None;
         }
         let known = METHODS.map(|(method, _)| method).join(", ");
@@ -150,6 +159,32 @@
         Some(problem("path_prefix", detail))
     }
 
+    fn host_problem(&self) -> Option<EntryProblem> {
+        let host = self.host.as_deref()?;
+        let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_');
+        if !host.is_empty() && host.len() <= MAX_HOST_BYTES && host.bytes().all(plain) {
+            return None;
+        }
+        let detail = format!("{host:?} is no host name of at most {MAX_HOST_BYTES} bytes");
+        Some(problem("host", detail))
+    }
+
+    fn split_problem(&self) -> Option<EntryProblem> {
+        if self.split.is_empty() {
+            return None;
+        }
+        if self.split.len() > MAX_SPLIT {
+            let detail = format!("has more than {MAX_SPLIT} services");
+            return Some(problem("split", detail));
+        }
+        if self.split.iter().all(|share| share.weight == 0) {
+            return Some(problem("split", "gives weight to no service"));
+        }
+        self.split
+            .iter()
+            .find_map(|share| name_problem("split", &share.service))
+    }
+
     fn at_most_once_problem(&self) -> Option<EntryProblem> {
         let safe = METHODS.contains(&(self.method.as_str(), true));
         if !self.at_most_once || !safe {
@@ -202,7 +237,9 @@
 }
 
 fn contains(outer: &Entry, inner: &Entry) -> bool {
-    outer.method == inner.method && inner.path_prefix.starts_with(&outer.path_prefix)
+    outer.host == inner.host
+        && outer.method == inner.method
+        && inner.path_prefix.starts_with(&outer.path_prefix)
 }
 
 /// Whether the outer prefix, which contains the inner one, is equal to it or ends inside one of its segments.
--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -17,6 +17,19 @@
     Recovery,
 }
 
+/// Method of an entry that stands for requests with any method.
+pub const ANY_METHOD: &str = "*";
+
+/// A service that serves a part of the requests of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the weights of the other services.
+    pub weight: u32,
+}
+
 /// A catalogue entry: a kind of request, its owner, its class of importance and its limits.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,12 +38,18 @@
     pub name: EntryName,
     /// Who answers for the entry.
     pub owner: String,
-    /// HTTP method in upper case.
+    /// Host that requests name; any host when there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// HTTP method in upper case, or [`ANY_METHOD`].
     pub method: String,
     /// Path prefix; the longest match wins.
     pub path_prefix: String,
     /// Service whose targets serve it.
     pub service: ServiceName,
+    /// Services among which requests are divided by weight. When it is empty, all go to `service`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
     /// Class of importance.
     pub class: Class,
     /// Longest time for a whole answer, in milliseconds.
@@ -42,6 +61,10 @@
     /// Whether a request must run at most once.
     #[serde(default)]
     pub at_most_once: bool,
+    /// Whether each at-most-once request carries an idempotency key, which its caller sends again with each repetition.
+    /// Without keys a repetition is a request of its own, and only the nodes must not repeat it.
+    #[serde(default = "keyed", skip_serializing_if = "is_true")]
+    pub keyed: bool,
     /// What to value more under overload.
     #[serde(default)]
     pub prefer: Preference,
@@ -54,9 +77,47 @@
         Duration::from_millis(self.deadline_ms)
     }
 
-    /// Whether the entry stands for requests with this method and path.
+    /// Whether the entry stands for requests with this host, method and path.
+    #[must_use]
+    pub fn matches(&self, host: Option<&str>, method: &str, path: &str) -> bool {
+        let host_fits = self.host.is_none() || self.host.as_deref() == host;
+        let method_fits = self.method == ANY_METHOD || self.method == method;
+        host_fits && method_fits && path.starts_with(&self.path_prefix)
+    }
+
+    /// Whether a request must be claimed under its idempotency key before it may run.
+    #[must_use]
+    pub const fn needs_claim(&self) -> bool {
+        self.at_most_once && self.keyed
+    }
+
+    /// The service for a request, where `position` is its place in the split, from 0.0 up to and without 1.0.
     #[must_use]
-    pub fn matches(&self, method: &str, path: &str) -> bool {
-        self.method == method && path.starts_with(&self.path_prefix)
+    pub fn service_at(&self, position: f64) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|share| u64::from(share.weight)).sum();
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "weights are far below the precision of a float"
+        )]
+        let mut left = position * total as f64;
+        for share in &self.split {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return &share.service;
+            }
+        }
+        &self.service
     }
 }
+
+const fn keyed() -> bool {
+    true
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_true(flag: &bool) -> bool {
+    *flag
+}
--- a/crates/catalogue/src/fields.rs
+++ b/crates/catalogue/src/fields.rs
@@ -1,6 +1,7 @@
 //! Typed access to the fields of one table of a catalogue file.
 
 use {
+    crate::Share,
     std::ops::Range,
     toml::{
         Spanned,
@@ -78,9 +79,43 @@
         parsed
     }
 
-    pub(crate) fn flag(&mut self, name: &str) -> Option<bool> {
+    pub(crate) fn optional_text(&mut self, name: &str) -> Option<String> {
+        if !self.has_unread(name) {
+            return None;
+        }
+        self.required_text(name)
+    }
+
+    /// A table of services with their weights; empty when the field is missing.
+    pub(crate) fn shares(&mut self, name: &str) -> Vec<Share> {
+        let Some(value) = self.take(name) else {
+            return Vec::new();
+        };
+        let Some(table) = value.get_ref().as_table() else {
+            self.wrong_type(name, "a table of services with their weights", &value);
+            return Vec::new();
+        };
+        let mut shares = Vec::with_capacity(table.len());
+        for (service, weight) in table {
+            let number = weight.get_ref().as_integer();
+            let weight =
+                number.and_then(|number| u32::from_str_radix(number.as_str(), number.radix()).ok());
+            let Some(weight) = weight else {
+                let detail = format!("the weight of {:?} is no whole number", service.get_ref());
+                self.add(name, &detail);
+                continue;
+            };
+            shares.push(Share {
+                service: service.get_ref().as_ref().into(),
+                weight,
+            });
+        }
+        shares
+    }
+
+    pub(crate) fn flag(&mut self, name: &str, default: bool) -> Option<bool> {
         let Some(value) = self.take(name) else {
-            return Some(false);
+            return Some(default);
         };
         let flag = value.get_ref().as_bool();
         if flag.is_none() {
--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -175,16 +175,19 @@
     Entry {
         name: text(fields.required_text("name"), "unnamed").into(),
         owner: text(fields.required_text("owner"), "nobody"),
+        host: fields.optional_text("host"),
         method: text(fields.required_text("method"), "POST"),
         path_prefix: text(fields.required_text("path_prefix"), "/"),
         service: text(fields.required_text("service"), "unnamed").into(),
+        split: fields.shares("split"),
         class: fields
             .choice("class", &classes, None)
             .unwrap_or(Class::Normal),
         deadline_ms: fields.required_integer("deadline_ms").unwrap_or(1),
         retry_bound: saturated(fields.required_integer("retry_bound").unwrap_or(0)),
         concurrency: saturated(fields.required_integer("concurrency").unwrap_or(1)),
-        at_most_once: fields.flag("at_most_once").unwrap_or(false),
+        at_most_once: fields.flag("at_most_once", false).unwrap_or(false),
+        keyed: fields.flag("keyed", true).unwrap_or(true),
         prefer: fields
             .choice("prefer", &PREFERENCES, Some(Preference::default()))
             .unwrap_or_default(),
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -16,10 +16,10 @@
     catalogue::Catalogue,
     change::{Change, ChangeId, Edit, EditSubject},
     check::{
-        EntryProblem, MAX_CONCURRENCY, MAX_DEADLINE_MS, MAX_RETRY_BOUND, Overlap, is_valid_name,
-        overlaps,
+        EntryProblem, MAX_CONCURRENCY, MAX_DEADLINE_MS, MAX_RETRY_BOUND, MAX_SPLIT, Overlap,
+        is_valid_name, overlaps,
     },
-    entry::{Entry, Preference},
+    entry::{ANY_METHOD, Entry, Preference, Share},
     file::{FileProblem, parse_file},
     log::{
         CHANGES_PER_SNAPSHOT, LoggedChange, RETAINED_CHANGES, Replay, ReplayError, SNAPSHOT_NAME,
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -121,9 +121,9 @@
     ///
     /// Scans all entries; the data path keeps an index of its own.
     #[must_use]
-    pub fn find(&self, method: &str, path: &str) -> Option<&Arc<Entry>> {
+    pub fn find(&self, host: Option<&str>, method: &str, path: &str) -> Option<&Arc<Entry>> {
         self.entries()
-            .filter(|entry| entry.matches(method, path))
+            .filter(|entry| entry.matches(host, method, path))
             .max_by_key(|entry| entry.path_prefix.len())
     }
 
@@ -174,6 +174,40 @@
         Ok(())
     }
 
+    /// Replaces all entries by those of a higher revision. Entries that stay the same keep their revision.
+    ///
+    /// # Errors
+    ///
+    /// When the revision is not higher, an entry is invalid or there are too many.
+    pub fn replace(&mut self, revision: Revision, entries: &[Entry]) -> Result<(), StateError> {
+        self.check_newer(revision)?;
+        let names: HashSet<&EntryName> = entries.iter().map(|entry| &entry.name).collect();
+        if names.len() < entries.len() {
+            return Err(invalid(revision, "a name occurs twice".to_owned()));
+        }
+        let mut next = self.clone();
+        let removed: Vec<EntryName> = self
+            .entries()
+            .map(|entry| entry.name.clone())
+            .filter(|name| !names.contains(name))
+            .collect();
+        for name in removed {
+            next.entries.remove(revision, &name);
+        }
+        for entry in entries {
+            if next
+                .entry(&entry.name)
+                .is_none_or(|known| **known != *entry)
+            {
+                next.entries
+                    .set(revision, &entry.name, Arc::new(entry.clone()));
+            }
+        }
+        next.revision = revision;
+        *self = next.checked()?;
+        Ok(())
+    }
+
     /// What a node at `from` lacks; the whole state when `from` is too old.
     #[must_use]
     pub fn changes_since(&self, from: Revision) -> Difference {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,3 +6,7 @@
 pub mod claims;
 pub mod membership;
 pub mod replication;
+
+mod target_record;
+
+pub use target_record::{Noted, OwnTarget, Process, TargetRecord};
--- a/crates/core/src/header.rs
+++ b/crates/core/src/header.rs
@@ -12,6 +12,8 @@
     pub const RETRIES: &str = "jujubeline-retries";
     /// Retry allowance returned with an answer.
     pub const RETRIES_UNUSED: &str = "jujubeline-retries-unused";
+    /// Present between nodes if the request may run more than once.
+    pub const MAY_REPEAT: &str = "jujubeline-may-repeat";
     /// Class label.
     pub const CLASS: &str = "jujubeline-class";
     /// Catalogue entry.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -10,6 +10,9 @@
 /// A node that meets a higher incarnation under its own name takes a still higher one.
 pub type Incarnation = u64;
 
+/// Id of one start of a target's process, from its own announcement.
+pub type ProcessId = Arc<str>;
+
 /// Name of a service, served by one or more targets.
 pub type ServiceName = Arc<str>;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,22 +4,26 @@
 
 mod cases;
 mod class;
+mod dialect;
 mod error;
 mod header;
 mod ids;
 mod key_hash;
+mod notice;
 mod outcome;
 mod reason;
 
 pub use {
     class::{Class, UnknownClass},
+    dialect::{Dialect, TargetLoad},
     error::{Peer, Step, StepError},
     header::names as header_names,
     ids::{
-        Attempt, DataCentre, EntryName, Epoch, Fingerprint, HopId, Incarnation, NodeId, Region,
-        Revision, RootId, ServiceName, ShardId,
+        Attempt, DataCentre, EntryName, Epoch, Fingerprint, HopId, Incarnation, NodeId, ProcessId,
+        Region, Revision, RootId, ServiceName, ShardId,
     },
     key_hash::{rendezvous_weight, root_slot, stable_hash},
+    notice::{AnnouncedState, Heartbeat, TargetNotice},
     outcome::{NotRunProof, Outcome, Refusal},
     reason::{RefusalReason, RetryReason, RetryStop},
 };
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -98,6 +98,9 @@
                 operators_address: if is_first { operators } else { free() },
                 platform_address: Some(platform.address()),
                 seeds: seeds.clone(),
+                ready_address: None,
+                dialect: std::sync::Arc::default(),
+                catalogue_source: jujubeline_node::CatalogueSource::default(),
                 stop_grace: STOP_GRACE,
             };
             seeds.push(control_address);
@@ -201,14 +204,17 @@
     let entry = |name: &str, method: &str, path_prefix: &str, service: &str| Entry {
         name: name.into(),
         owner: "blue-mahoe".to_owned(),
+        host: None,
         method: method.to_owned(),
         path_prefix: path_prefix.to_owned(),
         service: service.into(),
+        split: Vec::new(),
         class: Class::Normal,
         deadline_ms: 2_000,
         retry_bound: 3,
         concurrency: CONNECTIONS,
         at_most_once: false,
+        keyed: true,
         prefer: Preference::Goodput,
     };
     [
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -102,6 +102,16 @@
     /// Control addresses, separated by commas, of nodes to join through when the platform is down
     #[bpaf(long("seed"), env("JUJUBELINE_SEED"), argument("ADDRESSES"))]
     pub seed: Option<String>,
+    /// Address at which the deployment asks whether the node is ready, beside the operators' address
+    #[bpaf(
+        long("ready-address"),
+        env("JUJUBELINE_READY_ADDRESS"),
+        argument("ADDRESS")
+    )]
+    pub ready_address: Option<String>,
+    /// What callers and targets speak, and where the catalogue comes from: native (default) or platform
+    #[bpaf(long("deployment"), env("JUJUBELINE_DEPLOYMENT"), argument("KIND"))]
+    pub deployment: Option<String>,
     /// Longest time, in milliseconds, that a planned stop waits for requests in flight; default 30000
     #[bpaf(
         long("stop-grace-ms"),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,8 +6,8 @@
         options::RunOptions,
     },
     error_stack::Report,
-    jujubeline_core::{Peer, Step, StepError},
-    jujubeline_node::NodeSettings,
+    jujubeline_core::{Dialect, Peer, Step, StepError},
+    jujubeline_node::{CatalogueSource, NodeSettings},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -32,6 +32,7 @@
 ///
 /// A report on the first setting that is missing or invalid, by flag, variable and value.
 pub fn check(options: &RunOptions) -> DaemonResult<NodeSettings> {
+    let (dialect, catalogue_source) = deployment(options.deployment.as_ref())?;
     let settings = NodeSettings {
         node: name("node", options.node.as_ref())?,
         region: name("region", options.region.as_ref())?,
@@ -64,6 +65,9 @@
         operators_address: address("operators-address", options.operators_address.as_ref())?,
         platform_address: optional_address("platform-address", options.platform_address.as_ref())?,
         seeds: seeds(options.seed.as_ref())?,
+        ready_address: optional_address("ready-address", options.ready_address.as_ref())?,
+        dialect: Arc::new(dialect),
+        catalogue_source,
         stop_grace: Duration::from_millis(u64::from(count(
             "stop-grace-ms",
             options.stop_grace_ms.as_ref(),
@@ -75,6 +79,18 @@
     Ok(settings)
 }
 
+/// What callers and targets speak, and where the catalogue comes from.
+fn deployment(value: Option<&String>) -> DaemonResult<(Dialect, CatalogueSource)> {
+    match value.map_or("native", String::as_str) {
+        "native" => Ok((Dialect::default(), CatalogueSource::ChangeLog)),
+        "platform" => Ok((
+            jujubeline_platform::dialect(),
+            CatalogueSource::Configuration,
+        )),
+        other => Err(invalid("deployment", other, "expected native or platform")),
+    }
+}
+
 /// An address that may be missing.
 ///
 /// # Errors
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -115,6 +115,9 @@
         operators_address: free,
         platform_address: None,
         seeds: Vec::new(),
+        ready_address: None,
+        dialect: std::sync::Arc::default(),
+        catalogue_source: jujubeline_node::CatalogueSource::default(),
         stop_grace: Duration::from_secs(30),
     })
 }
@@ -130,6 +133,7 @@
     let (members, member_view) = watch::channel(Arc::default());
     let (local_target, _) = watch::channel(LocalTarget {
         address: settings.target_address,
+        process: None,
         state,
         slots: settings.target_slots,
         connections: settings.target_connections,
--- a/crates/node/src/control/catalogue_actor.rs
+++ b/crates/node/src/control/catalogue_actor.rs
@@ -3,7 +3,7 @@
 use {
     super::error::{ControlError, ControlResult, report},
     crate::CatalogueView,
-    jujubeline_catalogue::{CatalogueState, Change, Difference, LoggedChange, StateError},
+    jujubeline_catalogue::{CatalogueState, Change, Difference, Entry, LoggedChange, StateError},
     jujubeline_core::{Peer, Revision, Step},
     kameo::{
         Actor,
@@ -35,6 +35,9 @@
 /// Applies what a peer or the snapshot has and this node lacks.
 struct Merge(Difference);
 
+/// Replaces all entries by those of a higher revision.
+struct Replace(Revision, Vec<Entry>);
+
 impl CatalogueActor {
     fn publish(&self) -> Revision {
         self.view.send_replace(Arc::new(self.state.clone()));
@@ -76,6 +79,19 @@
     }
 }
 
+impl Message<Replace> for CatalogueActor {
+    type Reply = Result<Revision, StateError>;
+
+    async fn handle(
+        &mut self,
+        message: Replace,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        self.state.replace(message.0, &message.1)?;
+        Ok(self.publish())
+    }
+}
+
 /// Access to the catalogue in effect. Clones share one actor.
 #[derive(Debug, Clone)]
 pub struct CatalogueHandle {
@@ -111,6 +127,22 @@
         self.actor.ask(Advance(logged)).await.map_err(into_report)
     }
 
+    /// Replaces all entries by those of a higher revision.
+    ///
+    /// # Errors
+    ///
+    /// When the revision is not higher, an entry is invalid, or the control plane has stopped.
+    pub(super) async fn replace(
+        &self,
+        revision: Revision,
+        entries: Vec<Entry>,
+    ) -> ControlResult<Revision> {
+        self.actor
+            .ask(Replace(revision, entries))
+            .await
+            .map_err(into_report)
+    }
+
     /// Applies a difference and returns the new revision.
     ///
     /// # Errors
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control plane of a node: membership and the catalogue.
 
 mod catalogue_actor;
+mod configuration_follow;
 mod error;
 mod join;
 mod join_points;
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         catalogue_actor::CatalogueHandle,
+        configuration_follow::ConfigurationFollow,
         error::{ControlError, ControlResult, report},
         join, join_points,
         membership_actor::MembershipHandle,
@@ -10,7 +11,7 @@
         rpc::{self, ClaimsCall, Peers, RpcThread, Services},
         udp::{self, DatagramCounts},
     },
-    crate::{LocalTarget, NodeSettings, Views},
+    crate::{CatalogueSource, LocalTarget, NodeSettings, Views},
     jujubeline_coordination::membership::{Config, Member, Membership, Presence, TargetState},
     jujubeline_core::{Incarnation, Peer, Step},
     jujubeline_platform::{PlatformClient, PlatformSettings},
@@ -126,6 +127,7 @@
         let (rpc, peers) = rpc::start(listener, services, tasks.stopping.clone())?;
 
         let (local_target, target_changes) = watch::channel(initial_target(settings));
+        let local_target = Arc::new(local_target);
         let (contacts, contacts_found) = mpsc::channel(join::MAX_CONTACTS);
         tasks.spawn(udp::receive(
             socket,
@@ -160,12 +162,23 @@
             .platform_address
             .map(|address| PlatformClient::new(PlatformSettings::new(address)));
         if let Some(platform) = &platform {
-            tasks.spawn(platform_follow::run(
-                platform.clone(),
-                settings.node.clone(),
-                membership.clone(),
-                catalogue.clone(),
-            ));
+            match settings.catalogue_source {
+                CatalogueSource::ChangeLog => tasks.spawn(platform_follow::run(
+                    platform.clone(),
+                    settings.node.clone(),
+                    membership.clone(),
+                    catalogue.clone(),
+                )),
+                CatalogueSource::Configuration => tasks.spawn(
+                    ConfigurationFollow {
+                        platform: platform.clone(),
+                        catalogue: catalogue.clone(),
+                        service: settings.service.clone(),
+                        local_target: Arc::clone(&local_target),
+                    }
+                    .run(),
+                ),
+            }
             tasks.spawn(join_points::run(
                 platform.clone(),
                 settings.node.clone(),
@@ -177,7 +190,7 @@
             views: Views {
                 catalogue: catalogue.view(),
                 members: membership.view(),
-                local_target: Arc::new(local_target),
+                local_target,
                 revisions_wanted,
             },
             catalogue,
@@ -334,14 +347,15 @@
         })
 }
 
-/// A target whose address is in the settings is taken as ready until it announces another state; without an address
-/// there is no target yet.
+/// A target whose address is in the settings is taken as ready until it announces another state. Without an address, or
+/// where targets are told apart by process, there is no target before its announcement.
 fn initial_target(settings: &NodeSettings) -> LocalTarget {
     LocalTarget {
         address: settings.target_address,
+        process: None,
         state: match settings.target_address {
-            Some(_) => TargetState::Ready,
-            None => TargetState::Gone,
+            Some(_) if settings.dialect.target_process.is_none() => TargetState::Ready,
+            Some(_) | None => TargetState::Gone,
         },
         slots: settings.target_slots,
         connections: settings.target_connections,
--- a/crates/node/src/control/platform_follow.rs
+++ b/crates/node/src/control/platform_follow.rs
@@ -123,9 +123,9 @@
     catalogue: &CatalogueHandle,
     from: ResourceVersion,
 ) -> Result<(), Report<PlatformError>> {
-    let mut watch = platform.watch(Kind::CatalogueChanges, from).await?;
-    while let Some(event) = watch.next().await? {
-        let Event::Set(object) = event else {
+    let mut watch = platform.watch(Kind::CatalogueChanges, from);
+    loop {
+        let Event::Set(object) = watch.next().await? else {
             continue;
         };
         let Some(logged) = LoggedChange::read(&object.name, &object.value) else {
@@ -141,7 +141,6 @@
             log::debug!("catalogue change from the platform: {error:?}");
         }
     }
-    Ok(())
 }
 
 /// Tells membership about each revision that takes effect.
--- a/crates/node/src/data/catalogue_index.rs
+++ b/crates/node/src/data/catalogue_index.rs
@@ -1,7 +1,7 @@
 //! Index over the catalogue for the data path.
 
 use {
-    jujubeline_catalogue::{CatalogueState, Entry},
+    jujubeline_catalogue::{ANY_METHOD, CatalogueState, Entry},
     jujubeline_core::{EntryName, Revision},
     std::{collections::HashMap, sync::Arc},
 };
@@ -13,15 +13,18 @@
     parent: Option<usize>,
 }
 
+/// Host and method that the entries of one list have. Entries for any host have none.
+type Place = (Option<String>, String);
+
 /// Finds the entry with the longest matching path prefix.
 ///
-/// The prefixes of each method are sorted. Every prefix of a path sorts at or before the path, and any string between
-/// the two starts with that prefix too, so a binary search and a walk along the parents find the longest match. The
-/// cost grows with the logarithm of the number of entries.
+/// The prefixes for each host and method are sorted. Every prefix of a path sorts at or before the path, and any string
+/// between the two starts with that prefix too, so a binary search and a walk along the parents find the longest match.
+/// The cost grows with the logarithm of the number of entries.
 #[derive(Debug, Default)]
 pub struct CatalogueIndex {
     revision: Revision,
-    by_method: HashMap<String, Vec<Node>>,
+    by_place: HashMap<Place, Vec<Node>>,
     by_name: HashMap<EntryName, Arc<Entry>>,
 }
 
@@ -35,15 +38,17 @@
             .iter()
             .map(|entry| (entry.name.clone(), Arc::clone(entry)))
             .collect();
-        let mut by_method: HashMap<String, Vec<Node>> = HashMap::new();
+        let mut by_place: HashMap<Place, Vec<Node>> = HashMap::new();
         for entry in entries {
-            let nodes = by_method.entry(entry.method.clone()).or_default();
+            let nodes = by_place
+                .entry((entry.host.clone(), entry.method.clone()))
+                .or_default();
             let parent = longest_prefix(nodes, nodes.len().checked_sub(1), &entry.path_prefix);
             nodes.push(Node { entry, parent });
         }
         Self {
             revision: state.revision(),
-            by_method,
+            by_place,
             by_name,
         }
     }
@@ -60,13 +65,28 @@
         self.by_name.get(name)
     }
 
-    /// Entry for a request.
+    /// Entry for a request. Of equally long prefixes, one that names the host goes before one for any host, and one that
+    /// names the method before one for any method.
     #[must_use]
-    pub fn find(&self, method: &str, path: &str) -> Option<&Arc<Entry>> {
-        let nodes = self.by_method.get(method)?;
-        let after = nodes.partition_point(|node| node.entry.path_prefix.as_str() <= path);
-        let found = longest_prefix(nodes, after.checked_sub(1), path)?;
-        Some(&nodes[found].entry)
+    pub fn find(&self, host: Option<&str>, method: &str, path: &str) -> Option<&Arc<Entry>> {
+        let hosts = host.map(|host| Some(host.to_owned())).into_iter();
+        let mut best: Option<&Arc<Entry>> = None;
+        for host in hosts.chain([None]) {
+            for method in [method, ANY_METHOD] {
+                let Some(nodes) = self.by_place.get(&(host.clone(), method.to_owned())) else {
+                    continue;
+                };
+                let after = nodes.partition_point(|node| node.entry.path_prefix.as_str() <= path);
+                let Some(found) = longest_prefix(nodes, after.checked_sub(1), path) else {
+                    continue;
+                };
+                let entry = &nodes[found].entry;
+                if best.is_none_or(|best| entry.path_prefix.len() > best.path_prefix.len()) {
+                    best = Some(entry);
+                }
+            }
+        }
+        best
     }
 }
 
--- a/crates/node/src/data/context.rs
+++ b/crates/node/src/data/context.rs
@@ -20,6 +20,8 @@
     pub class: Class,
     /// Catalogue entry.
     pub entry: EntryName,
+    /// Whether the request may run more than once.
+    pub may_repeat: bool,
     /// Retry allowance granted to this hop.
     pub retries: u32,
     /// Claim of at-most-once work.
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -79,6 +79,7 @@
             routes: Arc::clone(&routes),
             service: settings.service.clone(),
             claims: claims.clone(),
+            dialect: Arc::clone(&settings.dialect),
             metrics: Arc::clone(&metrics),
             exchanges: exchanges.clone(),
             tasks: tasks.clone(),
@@ -93,6 +94,8 @@
             hops,
             claims,
             data_centre: settings.data_centre.clone(),
+            dialect: Arc::clone(&settings.dialect),
+            own_service: settings.service.clone(),
             metrics,
             exchanges: exchanges.clone(),
             drain: signals.drain.clone(),
@@ -197,8 +200,12 @@
         }
         self.pool.retarget(target.address, target.connections);
         let is_draining = target.state == TargetState::Draining;
-        self.admission
-            .announce(target.slots, target.connections, is_draining);
+        self.admission.announce(
+            target.slots,
+            self.dialect.slots_are_exact,
+            target.connections,
+            is_draining,
+        );
     }
 }
 
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -17,12 +17,12 @@
         small_body::hold_if_small,
     },
     crate::{Metrics, claims::Claims},
-    http::{HeaderValue, Request, Response, StatusCode, header, request},
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
-    jujubeline_catalogue::Entry,
+    jujubeline_catalogue::{ANY_METHOD, Entry},
     jujubeline_core::{
-        Class, DataCentre, NodeId, NotRunProof, Outcome, Refusal, RefusalReason,
-        header_names as names,
+        Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason,
+        ServiceName, header_names as names,
     },
     jujubeline_overload::{ExchangeEnd, RetryAllowance, RetryQuestion},
     std::{sync::Arc, time::Instant},
@@ -50,6 +50,10 @@
     pub claims: Option<Arc<Claims>>,
     /// Data centre of the node.
     pub data_centre: DataCentre,
+    /// What callers speak.
+    pub dialect: Arc<Dialect>,
+    /// Service of the local target, whose calls begin here.
+    pub own_service: ServiceName,
     /// Counts.
     pub metrics: Arc<Metrics>,
     /// Exchanges in flight.
@@ -74,7 +78,7 @@
             Ok(response) => response,
             Err(refusal) => {
                 self.metrics.refused(refusal.reason());
-                let mut response = problem_response(&refusal);
+                let mut response = problem_response(&refusal, &self.dialect);
                 if refusal.reason() == RefusalReason::Draining {
                     response
                         .headers_mut()
@@ -123,9 +127,9 @@
     /// Checks a request that has just arrived.
     fn accept(&self, mut head: request::Parts, now: Instant) -> Result<Accepted, Refusal> {
         let entry = self.select(&head)?;
-        let caller =
-            CallerHeaders::read(&head.headers).map_err(|_| rejected(RefusalReason::BadRequest))?;
-        if entry.at_most_once {
+        let caller = CallerHeaders::read(&head.headers, &self.dialect)
+            .map_err(|_| rejected(RefusalReason::BadRequest))?;
+        if entry.needs_claim() {
             check_key(&head)?;
         }
         let hop = caller.hop.and_then(|hop| self.hops.get(hop));
@@ -138,11 +142,13 @@
             (None, Some(_)) => Allowance::Unknown,
             (None, None) => Allowance::Own(RetryAllowance::new(entry.retry_bound)),
         };
-        let context = context(&entry, &caller, hop.as_ref(), now);
+        let mut context = context(&entry, &caller, hop.as_ref(), now);
+        context.may_repeat = may_repeat(&entry, &head.method);
         if context.remaining(now).is_zero() {
             return Err(before_claim(&entry, RefusalReason::Deadline));
         }
-        clean_request(&mut head.headers, &head.uri);
+        clean_request(&mut head.headers, &head.uri, &self.dialect);
+        self.name_caller(&mut head.headers);
         Ok(Accepted {
             entry,
             head,
@@ -152,13 +158,24 @@
         })
     }
 
+    /// States where the request began, whatever the caller states.
+    fn name_caller(&self, headers: &mut HeaderMap) {
+        let Some(name) = &self.dialect.caller_service else {
+            return;
+        };
+        headers.remove(name);
+        if let Ok(service) = HeaderValue::from_str(&self.own_service) {
+            headers.insert(name.clone(), service);
+        }
+    }
+
     fn select(&self, head: &request::Parts) -> Result<Arc<Entry>, Refusal> {
         let index = self.routes.index();
         if index.revision() == 0 {
             return Err(rejected(RefusalReason::NoCatalogue));
         }
         index
-            .find(head.method.as_str(), head.uri.path())
+            .find(host(head), head.method.as_str(), head.uri.path())
             .cloned()
             .ok_or_else(|| rejected(RefusalReason::NoEntry))
     }
@@ -170,12 +187,12 @@
         exchange: &mut EntryExchange,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let entry = &accepted.entry;
-        if entry.at_most_once {
+        if entry.needs_claim() {
             return self.run_once(accepted, body).await;
         }
         let service = self
             .routes
-            .service(&entry.service)
+            .service(entry.service_at(rand::random()))
             .ok_or_else(|| before_claim(entry, RefusalReason::NoTarget))?;
         let body = hold_if_small(body, accepted.context.deadline)
             .await
@@ -291,7 +308,7 @@
         let question = RetryQuestion {
             reason,
             outcome: refusal.outcome(),
-            idempotent: accepted.head.method.is_idempotent(),
+            idempotent: accepted.context.may_repeat,
             deadline: accepted.context.deadline,
             expected: service.expected_latency(),
         };
@@ -316,6 +333,20 @@
     }
 }
 
+/// Host that a request names, without its port.
+fn host(head: &request::Parts) -> Option<&str> {
+    if let Some(host) = head.uri.host() {
+        return Some(host);
+    }
+    let value = head.headers.get(header::HOST)?.to_str().ok()?;
+    Some(value.rsplit_once(':').map_or(value, |(host, _)| host))
+}
+
+/// Whether a request may run more than once. For entries with any method, the entry alone decides.
+fn may_repeat(entry: &Entry, method: &Method) -> bool {
+    !entry.at_most_once && (entry.method == ANY_METHOD || method.is_idempotent())
+}
+
 fn check_key(head: &request::Parts) -> Result<(), Refusal> {
     let key = head
         .headers
@@ -334,7 +365,7 @@
 
 /// A refusal before the claim owner was asked. An earlier exchange with the same key may have run.
 const fn before_claim(entry: &Entry, reason: RefusalReason) -> Refusal {
-    if entry.at_most_once {
+    if entry.needs_claim() {
         return Refusal::unknown(reason);
     }
     Refusal::not_run(NotRunProof::NeverSent, reason)
@@ -361,6 +392,7 @@
         root,
         class: entry.class,
         entry: entry.name.clone(),
+        may_repeat: false,
         retries: 0,
         claim: None,
     }
--- a/crates/node/src/data/forward_headers.rs
+++ b/crates/node/src/data/forward_headers.rs
@@ -3,7 +3,7 @@
 use {
     super::{ExchangeContext, claim_header::ClaimHeader, context::RETURN_ALLOWANCE},
     http::{HeaderMap, HeaderName, HeaderValue, Uri, header},
-    jujubeline_core::{Class, HopId, RootId, header_names as names},
+    jujubeline_core::{Class, Dialect, HopId, ProcessId, RootId, header_names as names},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -23,7 +23,8 @@
 ];
 
 /// Headers that only nodes may set.
-const BETWEEN_NODES: [&str; 8] = [
+const BETWEEN_NODES: [&str; 9] = [
+    names::MAY_REPEAT,
     names::RETRIES,
     names::RETRIES_UNUSED,
     names::CLASS,
@@ -39,7 +40,7 @@
 #[display("header {name} is malformed")]
 pub struct MalformedHeader {
     /// Name of the header.
-    pub name: &'static str,
+    pub name: String,
 }
 
 /// Headers that a caller, usually a target with a call of its own, may set.
@@ -59,8 +60,8 @@
     /// # Errors
     ///
     /// When one of the headers is malformed.
-    pub fn read(headers: &HeaderMap) -> Result<Self, MalformedHeader> {
-        let remaining = parse(headers, names::DEADLINE_MS, |text| text.parse().ok())?;
+    pub fn read(headers: &HeaderMap, dialect: &Dialect) -> Result<Self, MalformedHeader> {
+        let remaining = parse(headers, dialect.deadline.as_str(), |text| text.parse().ok())?;
         let root = parse(headers, names::ROOT, |text| hex(text, 32))?;
         let hop = parse(headers, names::HOP, |text| hex(text, 16))?;
         Ok(Self {
@@ -77,19 +78,29 @@
 
 fn parse<T>(
     headers: &HeaderMap,
-    name: &'static str,
+    name: &str,
     read: impl Fn(&str) -> Option<T>,
 ) -> Result<Option<T>, MalformedHeader> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
     let read = value.to_str().ok().and_then(read);
-    read.map(Some).ok_or(MalformedHeader { name })
+    read.map(Some).ok_or_else(|| malformed(name))
+}
+
+fn malformed(name: &str) -> MalformedHeader {
+    MalformedHeader {
+        name: name.to_owned(),
+    }
 }
 
 /// Removes what must not pass from a caller to the next hop, and keeps the authority as `host`.
-pub fn clean_request(headers: &mut HeaderMap, uri: &Uri) {
+pub fn clean_request(headers: &mut HeaderMap, uri: &Uri, dialect: &Dialect) {
     remove_hop_by_hop(headers);
+    headers.remove(&dialect.deadline);
+    if let Some(name) = &dialect.target_process {
+        headers.remove(name);
+    }
     for name in BETWEEN_NODES {
         headers.remove(name);
     }
@@ -139,12 +150,16 @@
 
 /// Adds the headers that the gate reads.
 pub fn write_context(headers: &mut HeaderMap, context: &ExchangeContext, now: Instant) {
-    write_remaining(headers, context, now);
+    headers.insert(names::DEADLINE_MS, remaining_ms(context, now));
+    headers.insert(names::ROOT, hex_value::<32>(context.root));
     headers.insert(
         names::CLASS,
         HeaderValue::from_static(context.class.label()),
     );
     headers.insert(names::RETRIES, HeaderValue::from(context.retries));
+    if context.may_repeat {
+        headers.insert(names::MAY_REPEAT, HeaderValue::from_static("1"));
+    }
     if let Some(claim) = context.claim {
         claim.write(headers);
     }
@@ -153,21 +168,30 @@
     }
 }
 
-/// Adds the headers that the target reads and copies to its own calls.
+/// Adds the headers that the target reads, and those that it copies to its own calls.
 pub fn write_target_context(
     headers: &mut HeaderMap,
+    dialect: &Dialect,
     context: &ExchangeContext,
     hop: HopId,
+    process: Option<&ProcessId>,
     now: Instant,
 ) {
-    write_remaining(headers, context, now);
-    headers.insert(names::HOP, hex_value::<16>(u128::from(hop)));
+    headers.insert(dialect.deadline.clone(), remaining_ms(context, now));
+    if dialect.propagates_exchange {
+        headers.insert(names::ROOT, hex_value::<32>(context.root));
+        headers.insert(names::HOP, hex_value::<16>(u128::from(hop)));
+    }
+    if let (Some(name), Some(process)) = (&dialect.target_process, process)
+        && let Ok(process) = HeaderValue::from_str(process)
+    {
+        headers.insert(name.clone(), process);
+    }
 }
 
-fn write_remaining(headers: &mut HeaderMap, context: &ExchangeContext, now: Instant) {
+fn remaining_ms(context: &ExchangeContext, now: Instant) -> HeaderValue {
     let remaining_ms = u64::try_from(context.remaining(now).as_millis()).unwrap_or(u64::MAX);
-    headers.insert(names::DEADLINE_MS, HeaderValue::from(remaining_ms));
-    headers.insert(names::ROOT, hex_value::<32>(context.root));
+    HeaderValue::from(remaining_ms)
 }
 
 fn hex_value<const DIGITS: usize>(number: u128) -> HeaderValue {
@@ -190,18 +214,23 @@
     headers: &mut HeaderMap,
     now: Instant,
 ) -> Result<ExchangeContext, MalformedHeader> {
-    let caller = CallerHeaders::read(headers)?;
+    let caller = CallerHeaders::read(headers, &Dialect::default())?;
     let class = parse(headers, names::CLASS, |text| text.parse::<Class>().ok())?;
     let retries = parse(headers, names::RETRIES, |text| text.parse().ok())?;
     let entry = parse(headers, names::ENTRY, |text| Some(Arc::from(text)))?;
     let claim = parse(headers, names::CLAIM, ClaimHeader::parse)?;
-    let missing = |name| MalformedHeader { name };
+    let missing = malformed;
     let context = ExchangeContext {
-        deadline: now + caller.remaining.ok_or(missing(names::DEADLINE_MS))? + RETURN_ALLOWANCE,
-        root: caller.root.ok_or(missing(names::ROOT))?,
-        class: class.ok_or(missing(names::CLASS))?,
-        entry: entry.ok_or(missing(names::ENTRY))?,
-        retries: retries.ok_or(missing(names::RETRIES))?,
+        deadline: now
+            + caller
+                .remaining
+                .ok_or_else(|| missing(names::DEADLINE_MS))?
+            + RETURN_ALLOWANCE,
+        root: caller.root.ok_or_else(|| missing(names::ROOT))?,
+        class: class.ok_or_else(|| missing(names::CLASS))?,
+        entry: entry.ok_or_else(|| missing(names::ENTRY))?,
+        may_repeat: headers.contains_key(names::MAY_REPEAT),
+        retries: retries.ok_or_else(|| missing(names::RETRIES))?,
         claim,
     };
     for name in BETWEEN_NODES {
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -14,12 +14,12 @@
         target_pool::{Lease, PoolError},
     },
     crate::{LocalTarget, Metrics, claims::Claims},
-    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header, request},
+    http::{HeaderMap, HeaderValue, Request, Response, Uri, header, request},
     http_body::Body,
     hyper::body::Incoming,
     jujubeline_coordination::membership::TargetState,
     jujubeline_core::{
-        Class, NotRunProof, Outcome, Refusal, RefusalReason, ServiceName, header_names as names,
+        Class, Dialect, NotRunProof, Refusal, RefusalReason, ServiceName, header_names as names,
     },
     jujubeline_overload::{AdmissionRequest, ExchangeEnd, Level, LoadReport},
     std::{
@@ -75,6 +75,8 @@
     pub service: ServiceName,
     /// Claims of at-most-once work; without them such work is refused.
     pub claims: Option<Arc<Claims>>,
+    /// What the target speaks.
+    pub dialect: Arc<Dialect>,
     /// Counts.
     pub metrics: Arc<Metrics>,
     /// Exchanges in flight.
@@ -145,10 +147,8 @@
             .enter(&request)
             .await
             .map_err(|reason| not_run(reason).with_retry_after(RETRY_AFTER))?;
-        // The target may have crashed while the request waited.
-        if self.target.borrow().state == TargetState::Gone {
-            return Err(not_run(RefusalReason::NoTarget));
-        }
+        // The target may have crashed or begun to drain while the request waited.
+        self.check(context)?;
         let running = self
             .crashes
             .begin(fingerprint, context.deadline)
@@ -173,7 +173,7 @@
         let index = self.routes.index();
         index
             .entry(&context.entry)
-            .is_some_and(|entry| entry.at_most_once)
+            .is_some_and(|entry| entry.needs_claim())
     }
 
     fn check(&self, context: &ExchangeContext) -> Result<(), Refusal> {
@@ -195,7 +195,8 @@
         context: &ExchangeContext,
         mut exchange: Box<GateExchange>,
     ) -> Result<Response<ResponseBody>, (Refusal, u32)> {
-        let result = match target_request(head, body, context, exchange.hop.id()) {
+        let attempt = self.attempt_id(&head.headers);
+        let result = match self.target_request(head, body, context, exchange.hop.id()) {
             Ok(request) => {
                 Sending::new(self, context, &exchange.hop, &mut exchange.lease)
                     .send(request)
@@ -204,7 +205,7 @@
             Err(refusal) => Err(refusal),
         };
         let unused = exchange.hop.close_allowance();
-        match result.and_then(check_response) {
+        match result.and_then(|response| self.check_response(response, attempt.as_ref())) {
             Ok(response) => Ok(self.pass_on(response, context, exchange, unused)),
             Err(refusal) => {
                 let refusal = self.end_refused(exchange, refusal).await;
@@ -213,6 +214,60 @@
         }
     }
 
+    /// Id that the caller gave to this attempt.
+    fn attempt_id(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        headers.get(self.dialect.attempt_id.as_ref()?).cloned()
+    }
+
+    fn target_request(
+        &self,
+        head: request::Parts,
+        body: OutgoingBody,
+        context: &ExchangeContext,
+        hop: u64,
+    ) -> Result<Request<OutgoingBody>, Refusal> {
+        let uri = match head.uri.path_and_query() {
+            Some(path) => Uri::builder().path_and_query(path.clone()).build(),
+            None => Uri::builder().path_and_query("/").build(),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = head.method;
+        *request.uri_mut() = uri.map_err(|_| not_run(RefusalReason::BadRequest))?;
+        *request.headers_mut() = head.headers;
+        write_target_context(
+            request.headers_mut(),
+            &self.dialect,
+            context,
+            hop,
+            self.target.borrow().process.as_ref(),
+            Instant::now(),
+        );
+        Ok(request)
+    }
+
+    /// Refuses responses that must not be passed on: of a request that was shed, of another request, and without a
+    /// provable end.
+    fn check_response(
+        &self,
+        response: Response<Incoming>,
+        attempt: Option<&HeaderValue>,
+    ) -> Result<Response<Incoming>, Refusal> {
+        let headers = response.headers();
+        if let (Some(name), Some(attempt)) = (&self.dialect.attempt_id, attempt)
+            && headers.get(name) != Some(attempt)
+        {
+            // An additional response to an earlier request arrived in place of this one.
+            return Err(Refusal::unknown(RefusalReason::OutcomeLost));
+        }
+        if (self.dialect.is_shed)(response.status(), headers) {
+            return Err(shed_refusal(headers));
+        }
+        if !self.dialect.allows_unframed && !is_end_provable(headers, response.body()) {
+            return Err(Refusal::unknown(RefusalReason::AnswerCutShort));
+        }
+        Ok(response)
+    }
+
     fn pass_on(
         &self,
         response: Response<Incoming>,
@@ -294,44 +349,6 @@
         .map_or(u32::MAX, |entry| entry.concurrency)
 }
 
-fn target_request(
-    head: request::Parts,
-    body: OutgoingBody,
-    context: &ExchangeContext,
-    hop: u64,
-) -> Result<Request<OutgoingBody>, Refusal> {
-    let uri = match head.uri.path_and_query() {
-        Some(path) => Uri::builder().path_and_query(path.clone()).build(),
-        None => Uri::builder().path_and_query("/").build(),
-    };
-    let mut request = Request::new(body);
-    *request.method_mut() = head.method;
-    *request.uri_mut() = uri.map_err(|_| not_run(RefusalReason::BadRequest))?;
-    *request.headers_mut() = head.headers;
-    write_target_context(request.headers_mut(), context, hop, Instant::now());
-    Ok(request)
-}
-
-/// Refuses responses that must not be passed on: of a request that was shed, and without a provable end.
-fn check_response(response: Response<Incoming>) -> Result<Response<Incoming>, Refusal> {
-    if is_shed(response.status(), response.headers()) {
-        return Err(shed_refusal(response.headers()));
-    }
-    if !is_end_provable(response.headers(), response.body()) {
-        return Err(Refusal::unknown(RefusalReason::AnswerCutShort));
-    }
-    Ok(response)
-}
-
-/// Whether the target states that it did not run the request. A successful response with that header contradicts itself.
-fn is_shed(status: StatusCode, headers: &HeaderMap) -> bool {
-    let outcome = headers
-        .get(names::OUTCOME)
-        .and_then(|value| value.to_str().ok())
-        .and_then(Outcome::from_label);
-    outcome == Some(Outcome::NotRun) && (status.is_client_error() || status.is_server_error())
-}
-
 fn shed_refusal(headers: &HeaderMap) -> Refusal {
     let refusal = Refusal::not_run(NotRunProof::RefusedByTarget, RefusalReason::TargetShed);
     let retry_after = headers
--- a/crates/node/src/data/problem.rs
+++ b/crates/node/src/data/problem.rs
@@ -4,7 +4,7 @@
     super::ResponseBody,
     bytes::Bytes,
     http::{HeaderValue, Response, StatusCode, header},
-    jujubeline_core::{Refusal, header_names},
+    jujubeline_core::{Dialect, Outcome, Refusal, header_names},
     serde::Serialize,
 };
 
@@ -21,12 +21,12 @@
 
 /// The response to a caller whose request was refused.
 #[must_use]
-pub fn problem_response(refusal: &Refusal) -> Response<ResponseBody> {
+pub fn problem_response(refusal: &Refusal, dialect: &Dialect) -> Response<ResponseBody> {
     let reason = refusal.reason();
     let problem = Problem {
         r#type: "about:blank",
         title: reason.title(),
-        status: reason.status(),
+        status: status(refusal),
         outcome: refusal.outcome().to_string(),
         reason: reason.label(),
         retry_after_ms: refusal
@@ -37,6 +37,12 @@
     let mut response = refusal_head(refusal);
     let headers = response.headers_mut();
     headers.remove(header_names::REASON);
+    if let Some(after) = refusal.retry_after()
+        && dialect.has_fractional_retry_after
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+    {
+        headers.insert(header::RETRY_AFTER, seconds);
+    }
     headers.insert(
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/problem+json"),
@@ -48,8 +54,8 @@
 #[must_use]
 pub fn refusal_head(refusal: &Refusal) -> Response<()> {
     let mut response = Response::new(());
-    *response.status_mut() = StatusCode::from_u16(refusal.reason().status())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() =
+        StatusCode::from_u16(status(refusal)).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(
         header_names::OUTCOME,
@@ -70,8 +76,18 @@
     response
 }
 
+/// Status of a refusal. Statuses 408, 421, 429 and 503 promise that the request has not run, so a refusal without that
+/// proof gets 502, and one with it never gets a status that leaves it open.
+const fn status(refusal: &Refusal) -> u16 {
+    let status = refusal.reason().status();
+    match (refusal.outcome(), status) {
+        (Outcome::NotRun, 502 | 504) => 503,
+        (Outcome::Ran | Outcome::Unknown, 408 | 421 | 429 | 503) => 502,
+        _ => status,
+    }
+}
+
 const fn outcome_label(refusal: &Refusal) -> &'static str {
-    use jujubeline_core::Outcome;
     match refusal.outcome() {
         Outcome::NotRun => "not_run",
         Outcome::Ran => "ran",
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -28,7 +28,7 @@
 pub struct Sending<'a> {
     gate: &'a Gate,
     deadline: Instant,
-    /// Whether the request may run twice if its method allows it.
+    /// Whether the request may run twice.
     may_repeat: bool,
     hop: &'a HopGuard,
     lease: &'a mut Option<Lease>,
@@ -45,7 +45,7 @@
         Self {
             gate,
             deadline: context.deadline,
-            may_repeat: context.claim.is_none(),
+            may_repeat: context.may_repeat,
             hop,
             lease,
         }
@@ -61,8 +61,7 @@
         mut self,
         mut request: Request<OutgoingBody>,
     ) -> Result<Response<Incoming>, Refusal> {
-        let is_idempotent = self.may_repeat && request.method().is_idempotent();
-        let max_idle = (!is_idempotent).then_some(FRESH_FOR);
+        let max_idle = (!self.may_repeat).then_some(FRESH_FOR);
         for _ in 0..MAX_UNSENT_TRIES {
             let lease = self
                 .gate
@@ -71,7 +70,11 @@
                 .await
                 .map_err(|error| pool_refusal(&error))?;
             let lease = self.lease.insert(lease);
-            let again = if is_idempotent { copy(&request) } else { None };
+            let again = if self.may_repeat {
+                copy(&request)
+            } else {
+                None
+            };
             let sending = lease.sender().try_send_request(request);
             match self.wait(sending, again).await? {
                 Ok(response) => return Ok(response),
--- a/crates/node/src/data/target_admission.rs
+++ b/crates/node/src/data/target_admission.rs
@@ -149,10 +149,11 @@
     }
 
     /// Takes what the target announced.
-    pub fn announce(&self, slots: u32, connections: u32, draining: bool) {
+    pub fn announce(&self, slots: u32, is_exact: bool, connections: u32, draining: bool) {
         let mut state = self.state.lock();
         state.admission.set_max_limit(connections);
         state.admission.hint_slots(Some(slots));
+        state.admission.set_exact_slots(is_exact.then_some(slots));
         state.admission.set_draining(draining);
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,6 @@
     error::{NodeError, NodeResult},
     metrics::Metrics,
     node::{Node, Sockets},
-    settings::NodeSettings,
+    settings::{CatalogueSource, NodeSettings},
     view::{CatalogueView, LocalTarget, MemberView, Views},
 };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,8 @@
     pub data: Listener,
     /// For operators and the target.
     pub operators: Listener,
+    /// For the deployment's question whether the node is ready.
+    pub ready: Option<Listener>,
 }
 
 impl Sockets {
@@ -59,6 +61,10 @@
             callers: Listener::bind(settings.callers_address, ListenerKind::Any).await?,
             data: Listener::bind(settings.data_address, ListenerKind::Http2).await?,
             operators: Listener::bind(settings.operators_address, ListenerKind::Any).await?,
+            ready: match settings.ready_address {
+                Some(address) => Some(Listener::bind(address, ListenerKind::Any).await?),
+                None => None,
+            },
         })
     }
 }
@@ -130,11 +136,17 @@
             Arc::clone(&data.entry),
             Arc::clone(&exporter),
         ));
-        data.tasks().spawn(sockets.operators.run(
-            move |_, request| Arc::clone(&operators).serve(request),
-            data.signals(),
-            data.tasks().clone(),
-        ));
+        for listener in [Some(sockets.operators), sockets.ready]
+            .into_iter()
+            .flatten()
+        {
+            let operators = Arc::clone(&operators);
+            data.tasks().spawn(listener.run(
+                move |_, request| Arc::clone(&operators).serve(request),
+                data.signals(),
+                data.tasks().clone(),
+            ));
+        }
         Ok(Self {
             settings,
             views,
--- a/crates/node/src/ops/announcement.rs
+++ b/crates/node/src/ops/announcement.rs
@@ -45,6 +45,7 @@
         }
         Ok(LocalTarget {
             address: Some(announcement.address),
+            process: None,
             state: match announcement.state {
                 AnnouncedState::Cold => TargetState::Cold,
                 AnnouncedState::Ready => TargetState::Ready,
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -12,8 +12,9 @@
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     jujubeline_catalogue::Entry,
-    jujubeline_coordination::membership::TargetState,
-    jujubeline_core::Incarnation,
+    jujubeline_coordination::{Noted, OwnTarget, TargetRecord, membership::TargetState},
+    jujubeline_core::{AnnouncedState, Incarnation},
+    parking_lot::Mutex,
     serde::Serialize,
     std::{
         sync::Arc,
@@ -35,12 +36,13 @@
     views: Views,
     entry: Arc<EntryNode>,
     exporter: Arc<Exporter>,
+    record: Mutex<TargetRecord>,
 }
 
 impl OperatorsServer {
     /// A server over the parts of a running node.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         settings: NodeSettings,
         incarnation: Incarnation,
         views: Views,
@@ -53,6 +55,7 @@
             views,
             entry,
             exporter,
+            record: Mutex::default(),
         }
     }
 
@@ -66,6 +69,7 @@
             ),
             (&Method::GET, "/livez") => text(StatusCode::OK, "live"),
             (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, path) if path == self.settings.dialect.ready_path => self.ready(),
             (&Method::GET, "/status") => json(&self.status()),
             (&Method::GET, "/explain") => self.explain(request.uri()),
             (&Method::PUT, "/target") => self.announce(request).await,
@@ -73,6 +77,7 @@
                 StatusCode::METHOD_NOT_ALLOWED,
                 "the method does not fit the path",
             ),
+            (&Method::POST, _) => self.note(request).await,
             _ => text(
                 StatusCode::NOT_FOUND,
                 "paths: /metrics /livez /readyz /status /explain /target",
@@ -120,7 +125,9 @@
             );
         };
         let index = self.entry.routes.index();
-        json(&self.explanation(index.find(&method, &path).cloned(), &method, &path))
+        let host = value("host");
+        let entry = index.find(host.as_deref(), &method, &path).cloned();
+        json(&self.explanation(entry, &method, &path))
     }
 
     fn explanation(&self, entry: Option<Arc<Entry>>, method: &str, path: &str) -> Explanation {
@@ -189,11 +196,10 @@
     }
 
     async fn announce(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), MAX_ANNOUNCEMENT_BYTES).collect();
-        let Ok(Ok(body)) = timeout(ANNOUNCEMENT_TIMEOUT, body).await else {
+        let Some(body) = read_announcement(request.into_body()).await else {
             return text(StatusCode::BAD_REQUEST, "the announcement is not readable");
         };
-        let announced = match Announcement::read(&body.to_bytes()) {
+        let announced = match Announcement::read(&body) {
             Ok(announced) => announced,
             Err(why) => return response(StatusCode::BAD_REQUEST, TEXT, why.into_bytes()),
         };
@@ -202,6 +208,62 @@
         }
         let former = self.views.local_target.borrow().clone();
         let is_new = is_new_incarnation(&former, &announced);
+        self.take_over(&former, announced, is_new);
+        text(StatusCode::OK, "noted")
+    }
+
+    /// Takes over what a target says with a call of the deployment's own format.
+    async fn note(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let (head, body) = request.into_parts();
+        let Some(body) = read_announcement(body).await else {
+            return text(StatusCode::BAD_REQUEST, "the announcement is not readable");
+        };
+        let read = (self.settings.dialect.read_notice)(&head.method, head.uri.path(), &body);
+        let notice = match read {
+            Some(Ok(notice)) => notice,
+            Some(Err(why)) => {
+                log::warn!("announcement at {} is ignored: {why}", head.uri.path());
+                return response(StatusCode::BAD_REQUEST, TEXT, why.into_bytes());
+            }
+            None => return text(StatusCode::NOT_FOUND, "the call is not known"),
+        };
+        let Some(address) = self.settings.target_address else {
+            return text(StatusCode::NOT_FOUND, "the node has no target");
+        };
+        let own = OwnTarget {
+            service: self.settings.service.clone(),
+            address,
+        };
+        let announced = {
+            let mut record = self.record.lock();
+            let noted = record.note(&notice, &own);
+            let Noted::Taken { new_process } = noted else {
+                log::info!("announcement is without effect ({noted:?}): {notice:?}");
+                return json(&serde_json::json!({}));
+            };
+            record
+                .process()
+                .map(|process| (process.clone(), new_process))
+        };
+        if let Some((process, is_new)) = announced {
+            let former = self.views.local_target.borrow().clone();
+            let target = LocalTarget {
+                address: Some(address),
+                process: Some(process.id),
+                state: match process.state {
+                    AnnouncedState::Ready(Duration::ZERO) => TargetState::Ready,
+                    AnnouncedState::Ready(_) => TargetState::Cold,
+                    AnnouncedState::Draining => TargetState::Draining,
+                },
+                slots: process.slots,
+                connections: former.connections,
+            };
+            self.take_over(&former, target, is_new);
+        }
+        json(&serde_json::json!({}))
+    }
+
+    fn take_over(&self, former: &LocalTarget, announced: LocalTarget, is_new: bool) {
         self.entry.gate.crashes.announced(is_new);
         if former.state != announced.state || former.address != announced.address {
             let place = announced.address.map(|address| format!(" at {address}"));
@@ -217,10 +279,15 @@
             *target = announced;
             changed
         });
-        text(StatusCode::OK, "noted")
     }
 }
 
+async fn read_announcement(body: Incoming) -> Option<Bytes> {
+    let body = Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect();
+    let body = timeout(ANNOUNCEMENT_TIMEOUT, body).await.ok()?.ok()?;
+    Some(body.to_bytes())
+}
+
 /// Whether an announcement comes from a process that started after the one that announced before.
 fn is_new_incarnation(former: &LocalTarget, announced: &LocalTarget) -> bool {
     former.address != announced.address
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,10 +1,20 @@
 //! Settings of a node, already checked.
 
 use {
-    jujubeline_core::{DataCentre, NodeId, Region, ServiceName},
-    std::{net::SocketAddr, time::Duration},
+    jujubeline_core::{DataCentre, Dialect, NodeId, Region, ServiceName},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
+/// Where the catalogue of a node comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CatalogueSource {
+    /// The log of changes that the command-line tool writes.
+    #[default]
+    ChangeLog,
+    /// The configuration that the platform's operators write.
+    Configuration,
+}
+
 /// Settings of a node. The daemon reads them from flags and environment variables.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -38,6 +48,12 @@
     pub platform_address: Option<SocketAddr>,
     /// Control addresses of nodes to join through when the platform is down.
     pub seeds: Vec<SocketAddr>,
+    /// Address at which the deployment asks whether the node is ready, beside the operators' address.
+    pub ready_address: Option<SocketAddr>,
+    /// What callers and targets speak.
+    pub dialect: Arc<Dialect>,
+    /// Where the catalogue comes from.
+    pub catalogue_source: CatalogueSource,
     /// Longest time that a planned stop waits for requests in flight.
     pub stop_grace: Duration,
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -3,6 +3,7 @@
 use {
     jujubeline_catalogue::CatalogueState,
     jujubeline_coordination::membership::{Member, TargetState},
+    jujubeline_core::ProcessId,
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{Notify, watch},
 };
@@ -18,6 +19,8 @@
 pub struct LocalTarget {
     /// Where it listens.
     pub address: Option<SocketAddr>,
+    /// Its process, if the deployment tells targets apart by process.
+    pub process: Option<ProcessId>,
     /// Its state.
     pub state: TargetState,
     /// Requests that it can run together.
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -169,6 +169,9 @@
         operators_address: free,
         platform_address: Some(platform),
         seeds: Vec::new(),
+        ready_address: None,
+        dialect: std::sync::Arc::default(),
+        catalogue_source: jujubeline_node::CatalogueSource::default(),
         stop_grace: Duration::from_secs(5),
     };
     let sockets = Sockets::bind(&settings).await.unwrap();
@@ -176,6 +179,7 @@
     let (members, member_view) = watch::channel(Arc::default());
     let (local_target, _) = watch::channel(LocalTarget {
         address: Some(target.address()),
+        process: None,
         state: TargetState::Ready,
         slots: 8,
         connections: 64,
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -45,6 +45,9 @@
         operators_address: any,
         platform_address: None,
         seeds,
+        ready_address: None,
+        dialect: std::sync::Arc::default(),
+        catalogue_source: jujubeline_node::CatalogueSource::default(),
         stop_grace: Duration::from_secs(1),
     }
 }
@@ -72,14 +75,17 @@
         edits: vec![Edit::Set(Entry {
             name: format!("entry-{revision}").as_str().into(),
             owner: "dispatch".to_owned(),
+            host: None,
             method: "GET".to_owned(),
             path_prefix: format!("/schedules/{revision}/"),
             service: "schedules".into(),
+            split: Vec::new(),
             class: Class::Normal,
             deadline_ms: 2_000,
             retry_bound: 3,
             concurrency: 80,
             at_most_once: false,
+            keyed: true,
             prefer: Preference::Goodput,
         })],
     }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -32,6 +32,9 @@
         operators_address: any,
         platform_address: None,
         seeds: Vec::new(),
+        ready_address: None,
+        dialect: std::sync::Arc::default(),
+        catalogue_source: jujubeline_node::CatalogueSource::default(),
         stop_grace: Duration::from_secs(1),
     }
 }
@@ -45,14 +48,17 @@
         edits: vec![Edit::Set(Entry {
             name: "schedules-read".into(),
             owner: "dispatch".to_owned(),
+            host: None,
             method: "GET".to_owned(),
             path_prefix: "/schedules/".to_owned(),
             service: "schedules".into(),
+            split: Vec::new(),
             class: Class::Normal,
             deadline_ms: 2_000,
             retry_bound: 3,
             concurrency: 80,
             at_most_once: false,
+            keyed: true,
             prefer: Preference::Goodput,
         })],
     }
@@ -73,7 +79,7 @@
         views
             .catalogue
             .borrow()
-            .find("GET", "/schedules/7")
+            .find(None, "GET", "/schedules/7")
             .is_some()
     );
 
--- a/crates/overload/src/admission/concurrency_limit.rs
+++ b/crates/overload/src/admission/concurrency_limit.rs
@@ -73,6 +73,8 @@
     limit: f64,
     max_limit: f64,
     slots: Option<u32>,
+    /// Limit that the target states as exact; nothing is learned while there is one.
+    exact: Option<u32>,
     in_flight: u32,
     window: LatencyWindow,
     fastest: Option<(Duration, Instant)>,
@@ -131,6 +133,7 @@
             limit: INITIAL_LIMIT.min(max_limit),
             max_limit,
             slots: None,
+            exact: None,
             in_flight: 0,
             window: LatencyWindow::new(now),
             fastest: None,
@@ -211,6 +214,13 @@
         }
     }
 
+    /// Uses the slots of the target as the limit from now on, instead of learning one. For targets whose announced slots
+    /// are exact and that are called by this node only: latency then also contains the time in which a target waits for
+    /// its own calls, which says nothing about its room.
+    pub fn set_exact(&mut self, slots: Option<u32>) {
+        self.exact = slots.map(|slots| slots.max(1));
+    }
+
     /// Takes the number of slots that the target announced as a cap. Zero or `None` removes the cap.
     ///
     /// An announcement made after latency was measured cannot lower the limit below half of what latency supports.
@@ -253,6 +263,9 @@
     }
 
     fn effective(&self) -> f64 {
+        if let Some(exact) = self.exact {
+            return f64::from(exact).min(self.max_limit);
+        }
         self.slots.map_or(self.limit, |slots| {
             self.limit.min(f64::from(slots).max(self.limit / 2.0))
         })
--- a/crates/overload/src/admission/gate_admission.rs
+++ b/crates/overload/src/admission/gate_admission.rs
@@ -204,6 +204,11 @@
         self.draining = draining;
     }
 
+    /// Uses the slots of the target as the limit instead of a learned one.
+    pub fn set_exact_slots(&mut self, slots: Option<u32>) {
+        self.limit.set_exact(slots);
+    }
+
     /// Takes the slots that the target announced.
     pub fn hint_slots(&mut self, slots: Option<u32>) {
         self.limit.hint_slots(slots);
--- a/crates/protocol/schema/node.capnp
+++ b/crates/protocol/schema/node.capnp
@@ -108,6 +108,15 @@
   concurrency @8 :UInt32;
   atMostOnce @9 :Bool;
   prefer @10 :Preference;
+  # Empty for any host.
+  host @11 :Text;
+  split @12 :List(Share);
+  unkeyed @13 :Bool;
+}
+
+struct Share {
+  service @0 :Text;
+  weight @1 :UInt32;
 }
 
 struct EntrySet {
--- a/crates/protocol/src/bounds.rs
+++ b/crates/protocol/src/bounds.rs
@@ -30,6 +30,9 @@
 /// Longest HTTP method.
 pub(crate) const MAX_METHOD_BYTES: usize = 16;
 
+/// Longest host name.
+pub(crate) const MAX_HOST_BYTES: usize = 253;
+
 /// Longest path prefix.
 pub(crate) const MAX_PATH_BYTES: usize = 1_024;
 
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -4,13 +4,13 @@
     crate::{
         ProtocolError,
         bounds::{
-            MAX_ENTRIES, MAX_ENTRY_NAME_BYTES, MAX_INSTANCES, MAX_METHOD_BYTES, MAX_OWNER_BYTES,
-            MAX_PATH_BYTES, check_size, list_len, name, name_within, text,
+            MAX_ENTRIES, MAX_ENTRY_NAME_BYTES, MAX_HOST_BYTES, MAX_INSTANCES, MAX_METHOD_BYTES,
+            MAX_OWNER_BYTES, MAX_PATH_BYTES, check_size, list_len, name, name_within, text,
         },
         node_capnp::{self, difference, entry, instance_changed},
     },
     capnp::struct_list,
-    jujubeline_catalogue::{Difference, Entry, Preference},
+    jujubeline_catalogue::{Difference, Entry, MAX_SPLIT, Preference, Share},
     jujubeline_core::{Class, NodeId, Revision},
 };
 
@@ -123,9 +123,22 @@
         Preference::Goodput => node_capnp::Preference::Goodput,
         Preference::Recovery => node_capnp::Preference::Recovery,
     });
+    builder.set_host(entry.host.as_deref().unwrap_or_default());
+    builder.set_unkeyed(!entry.keyed);
+    // The check of the catalogue bounds the number of shares.
+    let count = u32::try_from(entry.split.len()).unwrap_or(u32::MAX);
+    let mut shares = builder.init_split(count);
+    for (index, share) in (0..).zip(&entry.split) {
+        let mut item = shares.reborrow().get(index);
+        item.set_service(&*share.service);
+        item.set_weight(share.weight);
+    }
 }
 
 fn read_entry(reader: entry::Reader<'_>) -> Result<Entry, ProtocolError> {
+    let host = text("entry.host", reader.get_host()?, MAX_HOST_BYTES)?;
+    let split = reader.get_split()?;
+    check_size("entry.split", split.len() as usize, MAX_SPLIT)?;
     Ok(Entry {
         name: name_within("entry.name", reader.get_name()?, MAX_ENTRY_NAME_BYTES)?,
         owner: text("entry.owner", reader.get_owner()?, MAX_OWNER_BYTES)?.to_owned(),
@@ -137,6 +150,16 @@
         )?
         .to_owned(),
         service: name("entry.service", reader.get_service()?)?,
+        host: (!host.is_empty()).then(|| host.to_owned()),
+        split: split
+            .iter()
+            .map(|share| {
+                Ok(Share {
+                    service: name("share.service", share.get_service()?)?,
+                    weight: share.get_weight(),
+                })
+            })
+            .collect::<Result<_, ProtocolError>>()?,
         class: match reader.get_class()? {
             node_capnp::Class::Critical => Class::Critical,
             node_capnp::Class::High => Class::High,
@@ -147,6 +170,7 @@
         retry_bound: reader.get_retry_bound(),
         concurrency: reader.get_concurrency(),
         at_most_once: reader.get_at_most_once(),
+        keyed: !reader.get_unkeyed(),
         prefer: match reader.get_prefer()? {
             node_capnp::Preference::Goodput => Preference::Goodput,
             node_capnp::Preference::Recovery => Preference::Recovery,
--- a/crates/protocol/src/node_capnp.rs
+++ b/crates/protocol/src/node_capnp.rs
@@ -2917,11 +2917,31 @@
         pub fn get_prefer(self) -> ::core::result::Result<crate::node_capnp::Preference,::capnp::NotInSchema> {
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(10))
         }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_split(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::share::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_split(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_unkeyed(self) -> bool {
+            self.reader.get_bool_field(17)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3099,6 +3119,46 @@
         pub fn set_prefer(&mut self, value: crate::node_capnp::Preference)  {
             self.builder.set_data_field::<u16>(10, value as u16);
         }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_split(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::share::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_split(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::share::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_split(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::share::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_split(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_unkeyed(self) -> bool {
+            self.builder.get_bool_field(17)
+        }
+        #[inline]
+        pub fn set_unkeyed(&mut self, value: bool)  {
+            self.builder.set_bool_field(17, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3110,101 +3170,122 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 236] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(71, 56, 50, 31, 208, 41, 243, 191),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3298,6 +3379,34 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 108, 105, 116, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 162, 52, 67, 11, 1, 188, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 107, 101, 121, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3312,6 +3421,9 @@
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::node_capnp::Preference as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::struct_list::Owned<crate::node_capnp::share::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3325,13 +3437,248 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,2,0,1,3,10,7,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,2,0,1,3,10,7,4,12,13];
         pub(crate) const TYPE_ID: u64 = 0xbff3_29d0_1f32_3847;
     }
 }
 
+pub mod share {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_weight(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_weight(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_weight(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(25, 162, 52, 67, 11, 1, 188, 183),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 101, 105, 103, 104, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xb7bc_010b_4334_a219;
+    }
+}
+
 pub mod entry_set {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -218,14 +218,17 @@
     Entry {
         name: name.into(),
         owner: "bookkeeper".to_owned(),
+        host: None,
         method: "POST".to_owned(),
         path_prefix: "/wages/".to_owned(),
         service: "payroll".into(),
+        split: Vec::new(),
         class: Class::Critical,
         deadline_ms: 5_000,
         retry_bound: 2,
         concurrency: 95,
         at_most_once: true,
+        keyed: true,
         prefer: Preference::Recovery,
     }
 }
@@ -446,6 +449,7 @@
         shard: 63,
         epoch: 4,
         owner: gate("payroll-1"),
+        host: None,
         floor: 12,
     };
     let mut message = Builder::new_default();
--- a/crates/standin/src/platform/answer.rs
+++ b/crates/standin/src/platform/answer.rs
@@ -3,10 +3,8 @@
 use {
     super::store::{Refused, Stored},
     bytes::Bytes,
-    futures::Stream,
     http::{Response, StatusCode, header},
-    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
-    hyper::body::Frame,
+    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     serde_json::{Value, json},
     std::convert::Infallible,
 };
@@ -20,21 +18,8 @@
     )
 }
 
-pub(super) fn lines(
-    stream: impl Stream<Item = Result<Frame<Bytes>, Infallible>> + Send + 'static,
-) -> Response<Body> {
-    with_body(StatusCode::OK, StreamBody::new(stream).boxed_unsync())
-}
-
-pub(super) fn status(status: StatusCode, reason: &str, message: &str) -> Response<Body> {
-    let value = json!({
-        "kind": "Status",
-        "status": "Failure",
-        "code": status.as_u16(),
-        "reason": reason,
-        "message": message,
-    });
-    json(status, &value)
+pub(super) fn error(status: StatusCode, message: &str) -> Response<Body> {
+    json(status, &json!({ "error": message }))
 }
 
 pub(super) fn refused(refused: Refused) -> Response<Body> {
@@ -46,23 +31,27 @@
         Refused::Full => (StatusCode::INSUFFICIENT_STORAGE, "InsufficientStorage"),
         Refused::Expired => (StatusCode::GONE, "Expired"),
     };
-    status(code, reason, reason)
+    error(code, reason)
 }
 
 pub(super) fn object(stored: Stored) -> Value {
     let mut object = json!({
         "metadata": {
             "name": stored.name,
-            "resourceVersion": stored.resource_version.to_string(),
+            "revision": stored.resource_version,
+            "created": 0,
+            "finalizers": [],
+            "deleting": false,
         },
     });
     // `json!` would copy the value.
     object["spec"] = stored.value;
+    object["status"] = Value::Null;
     object
 }
 
-pub(super) fn listing(objects: Vec<Stored>, version: u64) -> Value {
-    let mut listing = json!({ "metadata": { "resourceVersion": version.to_string() } });
+pub(super) fn listing(objects: Vec<Stored>, more: bool, version: u64) -> Value {
+    let mut listing = json!({ "more": more, "currentRev": version });
     listing["items"] = objects.into_iter().map(object).collect();
     listing
 }
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -35,11 +35,9 @@
     pub drop_next: u64,
     /// Reads see the objects as they were this many versions ago.
     pub stale_versions: u64,
-    /// Watches deliver neither events nor bookmarks.
+    /// Watches get no answer.
     pub silent_watches: bool,
-    /// Time between the bookmarks of a watch, in milliseconds; 0 stands for 1 s.
-    pub bookmark_ms: u64,
-    /// Ends all running watches once, when the faults are set.
+    /// Closes the connections of all running watches once, when the faults are set.
     pub end_watches: bool,
     /// Forgets the history of changes once, when the faults are set, so that older watches expire.
     pub forget_history: bool,
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -24,7 +24,13 @@
 /// Largest body of a request: one value and its envelope.
 const MAX_BODY_BYTES: usize = MAX_VALUE_BYTES + 64 * 1_024;
 
-const PREFIX: &str = "/apis/jujubeline/v1/";
+/// Objects in one answer to a list.
+const PAGE_OBJECTS: usize = 500;
+
+/// Longest time that a watch waits for a change, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+
+const PREFIX: &str = "/api/objects/";
 
 /// A fault closes the connection without an answer.
 #[derive(Debug, Display, Error)]
@@ -32,11 +38,10 @@
 pub(super) struct Closed;
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
 struct Metadata {
     #[serde(default)]
     name: String,
-    resource_version: Option<String>,
+    revision: Option<u64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -45,23 +50,14 @@
     spec: Value,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Preconditions {
-    resource_version: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-struct DeleteOptions {
-    preconditions: Option<Preconditions>,
-}
-
 /// A call of the object API.
 #[derive(Debug)]
 enum Call {
     Get(String),
-    List,
-    Watch(u64),
+    /// Objects that follow a name.
+    List(Option<String>),
+    /// Changes after a version, and how long to wait for one.
+    Watch(u64, Duration),
     Create(String, Value),
     Update(String, Option<u64>, Value),
     Delete(String, Option<u64>),
@@ -88,7 +84,7 @@
             let query = parts.uri.query().unwrap_or_default();
             match parse(&parts.method, rest, query, &body) {
                 Ok((kind, call)) => object_call(&state, &kind, call).await?,
-                Err(problem) => answer::status(StatusCode::BAD_REQUEST, "BadRequest", &problem),
+                Err(problem) => answer::error(StatusCode::BAD_REQUEST, &problem),
             }
         }
         None => control_call(&state, &parts.method, path, &body),
@@ -112,7 +108,7 @@
                 state.set_faults(faults);
                 answer::json(StatusCode::OK, &serde_json::json!(state.lock().faults))
             }
-            Err(problem) => answer::status(StatusCode::BAD_REQUEST, "BadRequest", &problem),
+            Err(problem) => answer::error(StatusCode::BAD_REQUEST, &problem),
         },
         (&Method::GET, "/counts") => answer::json(
             StatusCode::OK,
@@ -125,8 +121,8 @@
 async fn object_call(state: &Arc<State>, kind: &str, call: Call) -> Result<Response<Body>, Closed> {
     state.counters.calls.fetch_add(1, Ordering::SeqCst);
     match call {
-        Call::Get(_) | Call::List => state.counters.reads.fetch_add(1, Ordering::SeqCst),
-        Call::Watch(_) => 0,
+        Call::Get(_) | Call::List(_) => state.counters.reads.fetch_add(1, Ordering::SeqCst),
+        Call::Watch(..) => 0,
         _ => state.counters.writes.fetch_add(1, Ordering::SeqCst),
     };
     let slow_ms = state.lock().faults.slow_ms;
@@ -135,11 +131,7 @@
     match down {
         Down::No => {}
         Down::Unavailable => {
-            return Ok(answer::status(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "ServiceUnavailable",
-                "down",
-            ));
+            return Ok(answer::error(StatusCode::SERVICE_UNAVAILABLE, "down"));
         }
         Down::Closed => return Err(Closed),
         Down::Silent => return std::future::pending().await,
@@ -148,7 +140,10 @@
     if writes && take(&mut state.lock().faults.drop_next) {
         return Err(Closed);
     }
-    let response = effect(state, kind, call);
+    let response = match call {
+        Call::Watch(from, wait) => watch::answer(state, kind, from, wait).await?,
+        call => effect(state, kind, call),
+    };
     let late_ms = state.lock().faults.late_ms;
     tokio::time::sleep(Duration::from_millis(late_ms)).await;
     if writes && loses(state) {
@@ -158,9 +153,6 @@
 }
 
 fn effect(state: &Arc<State>, kind: &str, call: Call) -> Response<Body> {
-    if let Call::Watch(from) = call {
-        return open_watch(state, kind, from);
-    }
     let result = {
         let mut inner = state.lock();
         let read_at = inner
@@ -169,29 +161,25 @@
             .saturating_sub(inner.faults.stale_versions);
         let store = &mut inner.store;
         match call {
-            Call::List => {
-                let listing = answer::listing(store.list(kind, read_at), read_at);
+            Call::List(after) => {
+                let mut objects = store.list(kind, read_at);
+                objects.retain(|object| after.as_ref().is_none_or(|after| object.name > *after));
+                let more = objects.len() > PAGE_OBJECTS;
+                objects.truncate(PAGE_OBJECTS);
+                let listing = answer::listing(objects, more, read_at);
                 return answer::json(StatusCode::OK, &listing);
             }
             Call::Get(name) => store.get(kind, &name, read_at).ok_or(Refused::NotFound),
             Call::Create(name, value) => store.create(kind, &name, value),
             Call::Update(name, expected, value) => store.update(kind, &name, expected, value),
             Call::Delete(name, expected) => store.delete(kind, &name, expected),
-            Call::Watch(_) => Err(Refused::Expired),
+            Call::Watch(..) => Err(Refused::Expired),
         }
     };
     state.changed.send_modify(|changes| *changes += 1);
     respond(result)
 }
 
-fn open_watch(state: &Arc<State>, kind: &str, from: u64) -> Response<Body> {
-    let known = state.lock().store.changes_after(kind, from);
-    match known {
-        Ok(_) => answer::lines(watch::lines(state, kind, from)),
-        Err(refused) => answer::refused(refused),
-    }
-}
-
 fn respond(result: Result<Stored, Refused>) -> Response<Body> {
     match result {
         Ok(stored) => answer::json(StatusCode::OK, &answer::object(stored)),
@@ -223,24 +211,22 @@
     };
     let call = match (method, name) {
         (&Method::GET, Some(name)) => Call::Get(name),
-        (&Method::GET, None) if parameter(query, "watch") == Some("1") => {
-            Call::Watch(version(parameter(query, "resourceVersion"))?.unwrap_or_default())
-        }
-        (&Method::GET, None) => Call::List,
+        (&Method::GET, None) => match number(query, "watch")? {
+            Some(from) => {
+                let wait_ms = number(query, "waitMs")?.unwrap_or_default();
+                Call::Watch(from, Duration::from_millis(wait_ms.min(MAX_WAIT_MS)))
+            }
+            None => Call::List(parameter(query, "after").map(ToOwned::to_owned)),
+        },
         (&Method::POST, None) => {
             let object: WireObject = from_json(body)?;
             Call::Create(object.metadata.name, object.spec)
         }
         (&Method::PUT, Some(name)) => {
             let object: WireObject = from_json(body)?;
-            let expected = version(object.metadata.resource_version.as_deref())?;
-            Call::Update(name, expected, object.spec)
-        }
-        (&Method::DELETE, Some(name)) => {
-            let options: DeleteOptions = from_json(body)?;
-            let expected = options.preconditions.and_then(|p| p.resource_version);
-            Call::Delete(name, version(expected.as_deref())?)
+            Call::Update(name, object.metadata.revision, object.spec)
         }
+        (&Method::DELETE, Some(name)) => Call::Delete(name, number(query, "revision")?),
         (method, name) => return Err(format!("{method} of object {name:?} is not supported")),
     };
     Ok((kind.to_owned(), call))
@@ -254,12 +240,13 @@
         .map(|(_, value)| value)
 }
 
-fn version(text: Option<&str>) -> Result<Option<u64>, String> {
-    text.map(|text| {
-        text.parse()
-            .map_err(|_| format!("resource version {text:?} is not a number"))
-    })
-    .transpose()
+fn number(query: &str, name: &str) -> Result<Option<u64>, String> {
+    parameter(query, name)
+        .map(|text| {
+            text.parse()
+                .map_err(|_| format!("{name} {text:?} is not a number"))
+        })
+        .transpose()
 }
 
 fn from_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, String> {
--- a/crates/standin/src/platform/watch.rs
+++ b/crates/standin/src/platform/watch.rs
@@ -2,136 +2,93 @@
 
 use {
     super::{
-        answer,
+        answer::{self, Body},
         faults::Down,
         server::State,
+        service::Closed,
         store::{Action, Refused},
     },
-    bytes::Bytes,
-    futures::{Stream, stream},
-    hyper::body::Frame,
+    http::{Response, StatusCode},
     serde_json::{Value, json},
     std::{
-        convert::Infallible,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::sync::watch,
+    tokio::time::{Instant, timeout_at},
 };
 
-/// Time between bookmarks.
-const BOOKMARK_PERIOD: Duration = Duration::from_secs(1);
+/// Counts a watch while it waits.
+struct Pending<'a>(&'a State);
 
-/// A running watch of one kind.
-struct Running {
-    state: Arc<State>,
-    kind: String,
-    sent: u64,
-    ended: u64,
-    changed: watch::Receiver<u64>,
-}
-
-impl Running {
-    fn new(state: &Arc<State>, kind: &str, from: u64) -> Self {
+impl<'a> Pending<'a> {
+    fn new(state: &'a State) -> Self {
         state
             .counters
             .pending_watches
             .fetch_add(1, Ordering::SeqCst);
-        Self {
-            state: Arc::clone(state),
-            kind: kind.to_owned(),
-            sent: from,
-            ended: state.lock().watches_ended,
-            changed: state.changed.subscribe(),
-        }
-    }
-
-    /// Lines since the last ones, or `None` when the watch has ended.
-    async fn lines(&mut self) -> Option<String> {
-        loop {
-            self.changed.mark_unchanged();
-            let state = Arc::clone(&self.state);
-            let (period, silent) = {
-                let inner = state.lock();
-                let faults = &inner.faults;
-                let down = matches!(faults.down, Down::Unavailable | Down::Closed);
-                if down || inner.watches_ended != self.ended || inner.stopping {
-                    return None;
-                }
-                let silent = faults.silent_watches || faults.down == Down::Silent;
-                if !silent && let Some(lines) = self.changes_in(&inner.store) {
-                    return Some(lines);
-                }
-                (bookmark_period(faults.bookmark_ms), silent)
-            };
-            let waited = tokio::time::timeout(period, self.changed.changed()).await;
-            if waited.is_err() && !silent {
-                return Some(line("BOOKMARK", &bookmark(self.sent)));
-            }
-        }
-    }
-
-    fn changes_in(&mut self, store: &super::store::Store) -> Option<String> {
-        let changes = match store.changes_after(&self.kind, self.sent) {
-            Ok(changes) => changes,
-            Err(Refused::Expired) => {
-                self.ended = u64::MAX;
-                return Some(line("ERROR", &json!({ "code": 410, "reason": "Expired" })));
-            }
-            Err(_) => return None,
-        };
-        self.sent = store.version();
-        let mut lines = String::new();
-        for change in changes {
-            let label = match change.action {
-                Action::Added => "ADDED",
-                Action::Modified => "MODIFIED",
-                Action::Deleted => "DELETED",
-            };
-            lines.push_str(&line(label, &answer::object(change.stored)));
-        }
-        (!lines.is_empty()).then_some(lines)
+        Self(state)
     }
 }
 
-impl Drop for Running {
+impl Drop for Pending<'_> {
     fn drop(&mut self) {
-        self.state
+        self.0
             .counters
             .pending_watches
             .fetch_sub(1, Ordering::SeqCst);
     }
 }
 
-/// The lines of a watch from a version on.
-pub(super) fn lines(
+/// Answers with the changes after a version as soon as there is one, or with none after the wait.
+pub(super) async fn answer(
     state: &Arc<State>,
     kind: &str,
     from: u64,
-) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> + Send + 'static {
-    stream::unfold(Running::new(state, kind, from), |mut running| async move {
-        let lines = running.lines().await?;
-        let count = lines.len() as u64;
-        running
-            .state
-            .counters
-            .body_bytes
-            .fetch_add(count, Ordering::Relaxed);
-        Some((Ok(Frame::data(Bytes::from(lines))), running))
-    })
-}
-
-const fn bookmark_period(bookmark_ms: u64) -> Duration {
-    if bookmark_ms == 0 {
-        return BOOKMARK_PERIOD;
+    wait: Duration,
+) -> Result<Response<Body>, Closed> {
+    let _pending = Pending::new(state);
+    let ends_at = Instant::now() + wait;
+    let started_at = state.lock().watches_ended;
+    let mut changed = state.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        let silent = {
+            let inner = state.lock();
+            let down = matches!(inner.faults.down, Down::Unavailable | Down::Closed);
+            if down || inner.watches_ended != started_at || inner.stopping {
+                return Err(Closed);
+            }
+            inner.faults.silent_watches || inner.faults.down == Down::Silent
+        };
+        if !silent {
+            match events(state, kind, from) {
+                Err(refused) => return Ok(answer::refused(refused)),
+                Ok((events, version)) if !events.is_empty() || Instant::now() >= ends_at => {
+                    let changes = json!({ "events": events, "currentRev": version });
+                    return Ok(answer::json(StatusCode::OK, &changes));
+                }
+                Ok(_) => {}
+            }
+        }
+        if silent {
+            let _ = changed.changed().await;
+        } else {
+            let _ = timeout_at(ends_at, changed.changed()).await;
+        }
     }
-    Duration::from_millis(bookmark_ms)
-}
-
-fn bookmark(version: u64) -> Value {
-    json!({ "metadata": { "resourceVersion": version.to_string() } })
 }
 
-fn line(label: &str, object: &Value) -> String {
-    format!("{}\n", json!({ "type": label, "object": object }))
+fn events(state: &State, kind: &str, from: u64) -> Result<(Vec<Value>, u64), Refused> {
+    let inner = state.lock();
+    let changes = inner.store.changes_after(kind, from)?;
+    let events = changes
+        .into_iter()
+        .map(|change| {
+            json!({
+                "deleted": change.action == Action::Deleted,
+                "object": answer::object(change.stored),
+            })
+        })
+        .collect();
+    Ok((events, inner.store.version()))
 }
