--- a/crates/core/src/header.rs
+++ b/crates/core/src/header.rs
@@ -14,6 +14,8 @@
     pub const RETRIES_UNUSED: &str = "jujubeline-retries-unused";
     /// Present between nodes if the request may run more than once.
     pub const MAY_REPEAT: &str = "jujubeline-may-repeat";
+    /// Service that shall run the request, between nodes.
+    pub const SERVICE: &str = "jujubeline-service";
     /// Class label.
     pub const CLASS: &str = "jujubeline-class";
     /// Catalogue entry.
--- a/crates/node/src/data/context.rs
+++ b/crates/node/src/data/context.rs
@@ -2,7 +2,7 @@
 
 use {
     super::claim_header::ClaimHeader,
-    jujubeline_core::{Class, EntryName, RootId},
+    jujubeline_core::{Class, EntryName, RootId, ServiceName},
     std::time::{Duration, Instant},
 };
 
@@ -20,6 +20,8 @@
     pub class: Class,
     /// Catalogue entry.
     pub entry: EntryName,
+    /// Service that shall run it.
+    pub service: ServiceName,
     /// Whether the request may run more than once.
     pub may_repeat: bool,
     /// Retry allowance granted to this hop.
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -192,7 +192,7 @@
         }
         let service = self
             .routes
-            .service(entry.service_at(rand::random()))
+            .service(&accepted.context.service)
             .ok_or_else(|| before_claim(entry, RefusalReason::NoTarget))?;
         let body = hold_if_small(body, accepted.context.deadline)
             .await
@@ -392,6 +392,7 @@
         root,
         class: entry.class,
         entry: entry.name.clone(),
+        service: entry.service_at(rand::random()).clone(),
         may_repeat: false,
         retries: 0,
         claim: None,
--- a/crates/node/src/data/forward_headers.rs
+++ b/crates/node/src/data/forward_headers.rs
@@ -23,7 +23,8 @@
 ];
 
 /// Headers that only nodes may set.
-const BETWEEN_NODES: [&str; 9] = [
+const BETWEEN_NODES: [&str; 10] = [
+    names::SERVICE,
     names::MAY_REPEAT,
     names::RETRIES,
     names::RETRIES_UNUSED,
@@ -157,6 +158,9 @@
         HeaderValue::from_static(context.class.label()),
     );
     headers.insert(names::RETRIES, HeaderValue::from(context.retries));
+    if let Ok(service) = HeaderValue::from_str(&context.service) {
+        headers.insert(names::SERVICE, service);
+    }
     if context.may_repeat {
         headers.insert(names::MAY_REPEAT, HeaderValue::from_static("1"));
     }
@@ -218,6 +222,7 @@
     let class = parse(headers, names::CLASS, |text| text.parse::<Class>().ok())?;
     let retries = parse(headers, names::RETRIES, |text| text.parse().ok())?;
     let entry = parse(headers, names::ENTRY, |text| Some(Arc::from(text)))?;
+    let service = parse(headers, names::SERVICE, |text| Some(Arc::from(text)))?;
     let claim = parse(headers, names::CLAIM, ClaimHeader::parse)?;
     let missing = malformed;
     let context = ExchangeContext {
@@ -229,6 +234,7 @@
         root: caller.root.ok_or_else(|| missing(names::ROOT))?,
         class: class.ok_or_else(|| missing(names::CLASS))?,
         entry: entry.ok_or_else(|| missing(names::ENTRY))?,
+        service: service.ok_or_else(|| missing(names::SERVICE))?,
         may_repeat: headers.contains_key(names::MAY_REPEAT),
         retries: retries.ok_or_else(|| missing(names::RETRIES))?,
         claim,
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -177,6 +177,10 @@
     }
 
     fn check(&self, context: &ExchangeContext) -> Result<(), Refusal> {
+        // The address of an instance that is gone may belong to an instance of another service.
+        if context.service != self.service {
+            return Err(not_run(RefusalReason::NoTarget));
+        }
         match self.target.borrow().state {
             TargetState::Draining => return Err(not_run(RefusalReason::Draining)),
             TargetState::Gone => return Err(not_run(RefusalReason::NoTarget)),
