--- a/crates/cli/tests/cli/snapshot.rs
+++ b/crates/cli/tests/cli/snapshot.rs
@@ -35,10 +35,10 @@
     let last = world.platform.objects(kind.label());
     let last = last.iter().map(|object| object.resource_version).max();
     let client = client(world.platform.address());
-    let mut watch = client.watch(kind, 0).await.expect("a watch");
+    let mut watch = client.watch(kind, 0);
     let mut events = Vec::new();
     while Some(watch.resource_version()) < last {
-        let event = watch.next().await.expect("a watch").expect("an event");
+        let event = watch.next().await.expect("an event");
         events.push((watch.resource_version(), event));
     }
     events
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -449,7 +449,6 @@
         shard: 63,
         epoch: 4,
         owner: gate("payroll-1"),
-        host: None,
         floor: 12,
     };
     let mut message = Builder::new_default();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -10,7 +10,7 @@
     },
 };
 
-const PATH: &str = "/apis/jujubeline/v1/join-points";
+const PATH: &str = "/api/objects/join-points";
 
 /// Ends the process with the test.
 struct Process(Child);
