--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -56,6 +56,9 @@
     pub deadline_ms: u64,
     /// Retries for one root request over the whole call graph.
     pub retry_bound: u32,
+    /// Targets that one node may send a request to; as many as the retry bound allows when there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_attempts: Option<u32>,
     /// Requests of this kind in flight at each target instance.
     pub concurrency: u32,
     /// Whether a request must run at most once.
--- a/crates/catalogue/src/fields.rs
+++ b/crates/catalogue/src/fields.rs
@@ -113,6 +113,13 @@
         shares
     }
 
+    pub(crate) fn optional_integer(&mut self, name: &str) -> Option<u64> {
+        if !self.has_unread(name) {
+            return None;
+        }
+        self.required_integer(name)
+    }
+
     pub(crate) fn flag(&mut self, name: &str, default: bool) -> Option<bool> {
         let Some(value) = self.take(name) else {
             return Some(default);
--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -185,6 +185,7 @@
             .unwrap_or(Class::Normal),
         deadline_ms: fields.required_integer("deadline_ms").unwrap_or(1),
         retry_bound: saturated(fields.required_integer("retry_bound").unwrap_or(0)),
+        max_attempts: fields.optional_integer("max_attempts").map(saturated),
         concurrency: saturated(fields.required_integer("concurrency").unwrap_or(1)),
         at_most_once: fields.flag("at_most_once", false).unwrap_or(false),
         keyed: fields.flag("keyed", true).unwrap_or(true),
--- a/crates/core/src/dialect.rs
+++ b/crates/core/src/dialect.rs
@@ -16,6 +16,15 @@
     pub slots: u32,
 }
 
+/// Attempts that an attempt belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParentAttempt<'a> {
+    /// The attempt of the client.
+    pub root: &'a str,
+    /// The attempt that the calling target runs.
+    pub parent: &'a str,
+}
+
 /// What callers and targets of a deployment speak beside plain HTTP.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -23,6 +32,9 @@
     pub deadline: HeaderName,
     /// Header with the id of one attempt of a caller, which the target repeats in its response.
     pub attempt_id: Option<HeaderName>,
+    /// Id of the attempt on whose behalf a target makes the attempt with this id, and the id of the root attempt; none for
+    /// an attempt of a client.
+    pub read_parent: fn(&str) -> Option<ParentAttempt<'_>>,
     /// Header that names the service of the instance where a request began.
     pub caller_service: Option<HeaderName>,
     /// Header that names the only process that may run the request.
@@ -51,6 +63,7 @@
         Self {
             deadline: HeaderName::from_static(header_names::DEADLINE_MS),
             attempt_id: None,
+            read_parent: |_| None,
             caller_service: None,
             target_process: None,
             propagates_exchange: true,
--- a/crates/core/src/header.rs
+++ b/crates/core/src/header.rs
@@ -16,6 +16,8 @@
     pub const MAY_REPEAT: &str = "jujubeline-may-repeat";
     /// Service that shall run the request, between nodes.
     pub const SERVICE: &str = "jujubeline-service";
+    /// Present between nodes if a target makes the request on behalf of an exchange in flight.
+    pub const CALL: &str = "jujubeline-call";
     /// Class label.
     pub const CLASS: &str = "jujubeline-class";
     /// Catalogue entry.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use {
     class::{Class, UnknownClass},
-    dialect::{Dialect, TargetLoad},
+    dialect::{Dialect, ParentAttempt, TargetLoad},
     error::{Peer, Step, StepError},
     header::names as header_names,
     ids::{
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -101,6 +101,7 @@
                 ready_address: None,
                 dialect: std::sync::Arc::default(),
                 catalogue_source: jujubeline_node::CatalogueSource::default(),
+                decision_lines_per_s: 0,
                 stop_grace: STOP_GRACE,
             };
             seeds.push(control_address);
@@ -212,6 +213,7 @@
         class: Class::Normal,
         deadline_ms: 2_000,
         retry_bound: 3,
+        max_attempts: None,
         concurrency: CONNECTIONS,
         at_most_once: false,
         keyed: true,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -112,6 +112,13 @@
     /// What callers and targets speak, and where the catalogue comes from: native (default) or platform
     #[bpaf(long("deployment"), env("JUJUBELINE_DEPLOYMENT"), argument("KIND"))]
     pub deployment: Option<String>,
+    /// Lines that the decision log writes to standard output in a second at most, 0 for none; default 20
+    #[bpaf(
+        long("decision-lines-per-s"),
+        env("JUJUBELINE_DECISION_LINES_PER_S"),
+        argument("COUNT")
+    )]
+    pub decision_lines_per_s: Option<String>,
     /// Longest time, in milliseconds, that a planned stop waits for requests in flight; default 30000
     #[bpaf(
         long("stop-grace-ms"),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,6 +15,8 @@
 const DEFAULT_CONNECTIONS: u32 = 256;
 /// Slots of the target when neither the setting nor the target says otherwise.
 const DEFAULT_SLOTS: u32 = 64;
+/// Lines of the decision log in a second: at about 400 bytes a line, 8 KB/s of the 10 KB/s that a node may use for control.
+const DEFAULT_DECISION_LINES: u32 = 20;
 /// Grace time of a planned stop.
 const DEFAULT_STOP_GRACE_MS: u32 = 30_000;
 /// Longest grace time: one hour.
@@ -68,6 +70,7 @@
         ready_address: optional_address("ready-address", options.ready_address.as_ref())?,
         dialect: Arc::new(dialect),
         catalogue_source,
+        decision_lines_per_s: lines(options.decision_lines_per_s.as_ref())?,
         stop_grace: Duration::from_millis(u64::from(count(
             "stop-grace-ms",
             options.stop_grace_ms.as_ref(),
@@ -186,6 +189,14 @@
         })
 }
 
+fn lines(value: Option<&String>) -> DaemonResult<u32> {
+    let flag = "decision-lines-per-s";
+    match value.map(String::as_str) {
+        Some("0") => Ok(0),
+        _ => count(flag, value, DEFAULT_DECISION_LINES, MAX_COUNT),
+    }
+}
+
 fn seeds(value: Option<&String>) -> DaemonResult<Vec<SocketAddr>> {
     let Some(text) = value else {
         return Ok(Vec::new());
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -118,6 +118,7 @@
         ready_address: None,
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
+        decision_lines_per_s: 0,
         stop_grace: Duration::from_secs(30),
     })
 }
--- a/crates/node/src/data/at_most_once_entry.rs
+++ b/crates/node/src/data/at_most_once_entry.rs
@@ -142,6 +142,7 @@
         };
         let question = RetryQuestion {
             reason,
+            reached_target: true,
             outcome: refusal.outcome(),
             idempotent: false,
             deadline: accepted.context.deadline,
--- a/crates/node/src/data/attempt_end.rs
+++ b/crates/node/src/data/attempt_end.rs
@@ -1,7 +1,7 @@
 //! What a refusal says about the target and about a retry.
 
 use {
-    jujubeline_core::{Outcome, Refusal, RefusalReason as Reason, RetryReason},
+    jujubeline_core::{NotRunProof, Outcome, Refusal, RefusalReason as Reason, RetryReason},
     jujubeline_overload::ExchangeEnd,
 };
 
@@ -30,6 +30,15 @@
     }
 }
 
+/// Whether a refused attempt reached a target. Refusals of gates and failed connections to nodes cost no target any work.
+#[must_use]
+pub const fn reached_target(refusal: &Refusal) -> bool {
+    match refusal.proof() {
+        Some(proof) => matches!(proof, NotRunProof::RefusedByTarget),
+        None => true,
+    }
+}
+
 /// Why a retry is considered; none when another target would give the same refusal.
 #[must_use]
 pub const fn retry_reason(refusal: &Refusal) -> Option<RetryReason> {
--- a/crates/node/src/data/context.rs
+++ b/crates/node/src/data/context.rs
@@ -22,6 +22,8 @@
     pub entry: EntryName,
     /// Service that shall run it.
     pub service: ServiceName,
+    /// Whether a target makes the request on behalf of an exchange in flight.
+    pub is_call: bool,
     /// Whether the request may run more than once.
     pub may_repeat: bool,
     /// Retry allowance granted to this hop.
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -5,7 +5,10 @@
         CrashWatch, EntryNode, Gate, Hops, Listener, Peers, Routes, StopSignals, TargetAdmission,
         TargetPool, serve_entry_node,
     },
-    crate::{LocalTarget, Metrics, NodeSettings, Views, claims::Claims, error::NodeResult},
+    crate::{
+        LocalTarget, Metrics, NodeSettings, Views, claims::Claims, decisions::DecisionLog,
+        error::NodeResult,
+    },
     jujubeline_coordination::membership::TargetState,
     jujubeline_core::Incarnation,
     jujubeline_overload::Place,
@@ -62,6 +65,10 @@
         let local = views.local_target.subscribe();
         let target = local.borrow().clone();
         let hops = Hops::new();
+        let decisions = Arc::new(DecisionLog::new(
+            settings.decision_lines_per_s,
+            Instant::now(),
+        ));
         let gate = Arc::new(Gate {
             pool: Arc::new(TargetPool::new(
                 target.address,
@@ -80,6 +87,7 @@
             service: settings.service.clone(),
             claims: claims.clone(),
             dialect: Arc::clone(&settings.dialect),
+            decisions: Arc::clone(&decisions),
             metrics: Arc::clone(&metrics),
             exchanges: exchanges.clone(),
             tasks: tasks.clone(),
@@ -95,6 +103,7 @@
             claims,
             data_centre: settings.data_centre.clone(),
             dialect: Arc::clone(&settings.dialect),
+            decisions: Arc::clone(&decisions),
             own_service: settings.service.clone(),
             metrics,
             exchanges: exchanges.clone(),
@@ -185,6 +194,7 @@
         self.signals.close.cancel();
         self.gate.pool.close();
         self.tasks.close();
+        self.gate.decisions.stop();
         if timeout(CLOSE_GRACE, self.tasks.wait()).await.is_err() {
             self.signals.cut.cancel();
             self.tasks.wait().await;
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -4,7 +4,7 @@
     super::{
         ExchangeContext, Gate, OutgoingBody, Peers, ResponseBody, Routes,
         allowance::Allowance,
-        attempt_end::{exchange_end, retry_reason},
+        attempt_end::{exchange_end, reached_target, retry_reason},
         body::BodyError,
         fingerprint::{arrival_identity, fingerprint},
         forward_headers::{CallerHeaders, clean_request, clean_response_for_caller},
@@ -16,16 +16,23 @@
         service::{Choice, Endpoint, LearnedFrom, Service},
         small_body::hold_if_small,
     },
-    crate::{Metrics, claims::Claims},
+    crate::{
+        Metrics,
+        claims::Claims,
+        decisions::{Decision, DecisionLog},
+    },
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request},
     hyper::body::Incoming,
     jujubeline_catalogue::{ANY_METHOD, Entry},
     jujubeline_core::{
-        Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason,
-        ServiceName, header_names as names,
+        Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason, RootId,
+        ServiceName, header_names as names, stable_hash,
     },
     jujubeline_overload::{ExchangeEnd, RetryAllowance, RetryQuestion},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio_util::{
         sync::CancellationToken,
         task::{TaskTracker, task_tracker::TaskTrackerToken},
@@ -35,6 +42,9 @@
 /// Longest idempotency key.
 const MAX_KEY_BYTES: usize = 255;
 
+/// Targets that are tried for one request. Most refuse in a few milliseconds, without the work of a target.
+const MAX_TARGETS: usize = 4;
+
 /// The part of a node that accepts requests from callers.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -54,6 +64,8 @@
     pub dialect: Arc<Dialect>,
     /// Service of the local target, whose calls begin here.
     pub own_service: ServiceName,
+    /// Log of decisions.
+    pub decisions: Arc<DecisionLog>,
     /// Counts.
     pub metrics: Arc<Metrics>,
     /// Exchanges in flight.
@@ -68,6 +80,7 @@
     pub head: request::Parts,
     pub context: ExchangeContext,
     pub allowance: Allowance,
+    arrived: Instant,
     hop: Option<Hop>,
 }
 
@@ -95,7 +108,14 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let started = Instant::now();
         let (head, body) = request.into_parts();
-        let mut accepted = self.accept(head, started)?;
+        let id = self.request_id(&head);
+        let mut accepted = match self.accept(head, started) {
+            Ok(accepted) => accepted,
+            Err(refusal) => {
+                self.record_rejected(id.as_ref(), &refusal, started);
+                return Err(refusal);
+            }
+        };
         let mut exchange = Box::new(EntryExchange::start(self, accepted.entry.class, started));
         let hop = accepted.hop.take();
         exchange.call = hop.as_ref().map(|hop| self.hops.call(hop.id, started));
@@ -119,6 +139,13 @@
             }
             Err(refusal) => {
                 exchange.refused();
+                self.record(
+                    &accepted,
+                    "refused",
+                    refusal.reason().label(),
+                    "",
+                    Some(refusal.outcome()),
+                );
                 Err(refusal)
             }
         }
@@ -132,7 +159,11 @@
         if entry.needs_claim() {
             check_key(&head)?;
         }
-        let hop = caller.hop.and_then(|hop| self.hops.get(hop));
+        let parent = self.parent(&head);
+        let hop = match &parent {
+            Some((parent, _)) => self.hops.by_attempt(parent),
+            None => caller.hop.and_then(|hop| self.hops.get(hop)),
+        };
         // A call made on behalf of an exchange in flight belongs to that exchange.
         if self.drain.is_cancelled() && hop.is_none() {
             return Err(before_claim(&entry, RefusalReason::Draining));
@@ -144,6 +175,12 @@
         };
         let mut context = context(&entry, &caller, hop.as_ref(), now);
         context.may_repeat = may_repeat(&entry, &head.method);
+        if let Some((_, root)) = parent {
+            context.root = root;
+            context.is_call = true;
+        } else if let Some(root) = self.root(&head) {
+            context.root = root;
+        }
         if context.remaining(now).is_zero() {
             return Err(before_claim(&entry, RefusalReason::Deadline));
         }
@@ -154,10 +191,24 @@
             head,
             context,
             allowance,
+            arrived: now,
             hop,
         })
     }
 
+    /// Attempt that the calling target runs, and the root request, if the id of the attempt tells them.
+    fn parent(&self, head: &request::Parts) -> Option<(String, RootId)> {
+        let id = self.request_id(head)?;
+        let attempt = (self.dialect.read_parent)(id.to_str().ok()?)?;
+        Some((attempt.parent.to_owned(), root_id(attempt.root)))
+    }
+
+    /// Root request of a client's attempt, if the attempt has an id.
+    fn root(&self, head: &request::Parts) -> Option<RootId> {
+        let id = self.request_id(head)?;
+        Some(root_id(id.to_str().ok()?))
+    }
+
     /// States where the request began, whatever the caller states.
     fn name_caller(&self, headers: &mut HeaderMap) {
         let Some(name) = &self.dialect.caller_service else {
@@ -221,10 +272,11 @@
         let mut tried: Vec<NodeId> = Vec::new();
         let mut last: Option<Refusal> = None;
         let mut earlier = Outcome::NotRun;
+        let mut reached = 0;
         loop {
             let context = &accepted.context;
             let now = Instant::now();
-            let chosen = service.choose(&context.entry, context.class, context.root, &tried, now);
+            let chosen = service.choose(context, &tried, now);
             let choice = match chosen {
                 Ok(choice) => choice,
                 Err(reason) => {
@@ -245,15 +297,27 @@
             };
             earlier = refusal.outcome();
             let node = choice.node.clone();
+            self.record(
+                accepted,
+                "attempt_failed",
+                refusal.reason().label(),
+                &node,
+                Some(refusal.outcome()),
+            );
             choice.finish(exchange_end(&refusal));
             let Some(again) = again else {
                 return Err(refusal);
             };
-            if !self.may_retry(accepted, service, &refusal) {
+            reached += u32::from(reached_target(&refusal));
+            tried.push(node);
+            let max_attempts = accepted.entry.max_attempts.unwrap_or(u32::MAX);
+            if reached >= max_attempts
+                || tried.len() >= MAX_TARGETS
+                || !self.may_retry(accepted, service, &refusal)
+            {
                 return Err(refusal);
             }
             body = again;
-            tried.push(node);
             last = Some(refusal);
         }
     }
@@ -297,7 +361,7 @@
     fn meet_level(&self, accepted: &Accepted, service: &Service, now: Instant) {
         if let Allowance::Shared(hop) = accepted.allowance {
             let level = service.level(&accepted.context.entry, now);
-            self.hops.meet_level(hop, level);
+            self.hops.meet_level(hop, level, accepted.context.class);
         }
     }
 
@@ -307,6 +371,7 @@
         };
         let question = RetryQuestion {
             reason,
+            reached_target: reached_target(refusal),
             outcome: refusal.outcome(),
             idempotent: accepted.context.may_repeat,
             deadline: accepted.context.deadline,
@@ -326,11 +391,74 @@
             service.decide_retry(question, allowance, Instant::now())
         });
         match decided {
-            Ok(reason) => self.metrics.retried(reason),
-            Err(stop) => self.metrics.retry_stopped(stop),
+            Ok(reason) => {
+                self.metrics.retried(reason);
+                self.record(accepted, "retried", reason.label(), "", None);
+            }
+            Err(stop) => {
+                self.metrics.retry_stopped(stop);
+                self.record(accepted, "not_retried", stop.label(), "", None);
+            }
         }
         decided.is_ok()
     }
+
+    /// Id of a request in the decision log, where callers give one.
+    fn request_id(&self, head: &request::Parts) -> Option<HeaderValue> {
+        head.headers.get(self.dialect.attempt_id.as_ref()?).cloned()
+    }
+
+    fn record_rejected(&self, id: Option<&HeaderValue>, refusal: &Refusal, now: Instant) {
+        self.decisions.record(
+            &Decision {
+                decision: "refused",
+                request: id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
+                reason: refusal.reason().label(),
+                outcome: Some(refusal.outcome()),
+                catalogue_revision: self.routes.index().revision(),
+                ..Decision::default()
+            },
+            now,
+        );
+    }
+
+    fn record(
+        &self,
+        accepted: &Accepted,
+        decision: &'static str,
+        reason: &str,
+        target: &str,
+        outcome: Option<Outcome>,
+    ) {
+        let now = Instant::now();
+        let context = &accepted.context;
+        let id = self.request_id(&accepted.head);
+        let root;
+        let request = match id.as_ref().and_then(|id| id.to_str().ok()) {
+            Some(id) => id,
+            None => {
+                root = format!("{:032x}", context.root);
+                &root
+            }
+        };
+        self.decisions.record(
+            &Decision {
+                decision,
+                request,
+                entry: &context.entry,
+                class: Some(context.class),
+                service: &context.service,
+                target,
+                reason,
+                outcome,
+                age_ms: millis(now.saturating_duration_since(accepted.arrived)),
+                left_ms: millis(context.remaining(now)),
+                catalogue_revision: self.routes.index().revision(),
+                ..Decision::default()
+            },
+            now,
+        );
+    }
 }
 
 /// Host that a request names, without its port.
@@ -347,6 +475,15 @@
     !entry.at_most_once && (entry.method == ANY_METHOD || method.is_idempotent())
 }
 
+/// Calls of one root request get the same id of the root, and with it the same admission decisions.
+fn root_id(attempt: &str) -> RootId {
+    RootId::from(stable_hash(attempt.as_bytes()))
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn check_key(head: &request::Parts) -> Result<(), Refusal> {
     let key = head
         .headers
@@ -390,9 +527,11 @@
     ExchangeContext {
         deadline,
         root,
-        class: entry.class,
+        // A call of an important exchange is as important as the exchange.
+        class: hop.map_or(entry.class, |hop| hop.class.min(entry.class)),
         entry: entry.name.clone(),
         service: entry.service_at(rand::random()).clone(),
+        is_call: hop.is_some(),
         may_repeat: false,
         retries: 0,
         claim: None,
--- a/crates/node/src/data/forward_headers.rs
+++ b/crates/node/src/data/forward_headers.rs
@@ -23,8 +23,9 @@
 ];
 
 /// Headers that only nodes may set.
-const BETWEEN_NODES: [&str; 10] = [
+const BETWEEN_NODES: [&str; 11] = [
     names::SERVICE,
+    names::CALL,
     names::MAY_REPEAT,
     names::RETRIES,
     names::RETRIES_UNUSED,
@@ -161,6 +162,9 @@
     if let Ok(service) = HeaderValue::from_str(&context.service) {
         headers.insert(names::SERVICE, service);
     }
+    if context.is_call {
+        headers.insert(names::CALL, HeaderValue::from_static("1"));
+    }
     if context.may_repeat {
         headers.insert(names::MAY_REPEAT, HeaderValue::from_static("1"));
     }
@@ -235,6 +239,7 @@
         class: class.ok_or_else(|| missing(names::CLASS))?,
         entry: entry.ok_or_else(|| missing(names::ENTRY))?,
         service: service.ok_or_else(|| missing(names::SERVICE))?,
+        is_call: headers.contains_key(names::CALL),
         may_repeat: headers.contains_key(names::MAY_REPEAT),
         retries: retries.ok_or_else(|| missing(names::RETRIES))?,
         claim,
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -13,9 +13,14 @@
         target_admission::{AdmissionGuard, TargetAdmission},
         target_pool::{Lease, PoolError},
     },
-    crate::{LocalTarget, Metrics, claims::Claims},
+    crate::{
+        LocalTarget, Metrics,
+        claims::Claims,
+        decisions::{Decision, DecisionLog},
+    },
     http::{HeaderMap, HeaderValue, Request, Response, Uri, header, request},
     http_body::Body,
+    http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     jujubeline_coordination::membership::TargetState,
     jujubeline_core::{
@@ -26,7 +31,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::watch, time::sleep_until},
+    tokio::{
+        sync::watch,
+        time::{sleep_until, timeout},
+    },
     tokio_util::task::{TaskTracker, task_tracker::TaskTrackerToken},
 };
 
@@ -77,6 +85,8 @@
     pub claims: Option<Arc<Claims>>,
     /// What the target speaks.
     pub dialect: Arc<Dialect>,
+    /// Log of decisions.
+    pub decisions: Arc<DecisionLog>,
     /// Counts.
     pub metrics: Arc<Metrics>,
     /// Exchanges in flight.
@@ -106,16 +116,63 @@
             return Err(self.refusal(refusal, context.retries));
         }
         let in_flight = self.exchanges.token();
+        let arrived = Instant::now();
+        let id = self.attempt_id(&head.headers);
         let exchange = match self.admit(&head, &body, context, in_flight).await {
             Ok(exchange) => exchange,
-            Err(refusal) => return Err(self.refusal(refusal, context.retries)),
+            Err(refusal) => {
+                self.record(id.as_ref(), context, &refusal, arrived);
+                return Err(self.refusal(refusal, context.retries));
+            }
         };
         match self.run(head, body, context, exchange).await {
             Ok(response) => Ok(response),
-            Err((refusal, unused)) => Err(self.refusal(refusal, unused)),
+            Err((refusal, unused)) => {
+                self.record(id.as_ref(), context, &refusal, arrived);
+                Err(self.refusal(refusal, unused))
+            }
         }
     }
 
+    fn record(
+        &self,
+        id: Option<&HeaderValue>,
+        context: &ExchangeContext,
+        refusal: &Refusal,
+        arrived: Instant,
+    ) {
+        let now = Instant::now();
+        let millis = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        let root;
+        let request = match id.and_then(|id| id.to_str().ok()) {
+            Some(id) => id,
+            None => {
+                root = format!("{:032x}", context.root);
+                &root
+            }
+        };
+        self.decisions.record(
+            &Decision {
+                decision: "gate_refused",
+                request,
+                entry: &context.entry,
+                class: Some(context.class),
+                service: &context.service,
+                target: self.target.borrow().process.as_deref().unwrap_or_default(),
+                reason: refusal.reason().label(),
+                outcome: Some(refusal.outcome()),
+                age_ms: millis(now.saturating_duration_since(arrived)),
+                left_ms: millis(context.remaining(now)),
+                catalogue_revision: self.routes.index().revision(),
+                running: Some(self.admission.in_flight()),
+                waiting: Some(self.admission.waiting() as u64),
+                limit: Some(self.admission.limit()),
+                level: Some(self.admission.report().0.keys()),
+            },
+            now,
+        );
+    }
+
     /// All checks before the request reaches the target.
     pub(super) async fn admit(
         self: &Arc<Self>,
@@ -135,7 +192,9 @@
             .turn(fingerprint, context.deadline)
             .await
             .map_err(suspect_refusal)?;
+        let attempt = self.attempt_id(&head.headers);
         let request = AdmissionRequest {
+            is_call: context.is_call,
             class: context.class,
             root: context.root,
             entry: context.entry.clone(),
@@ -160,9 +219,10 @@
             class: context.class,
             lease: None,
             running: Some(running),
-            hop: self
-                .hops
-                .open(context.deadline, context.root, context.retries),
+            hop: self.hops.open(
+                context,
+                attempt.as_ref().and_then(|attempt| attempt.to_str().ok()),
+            ),
             guard: Some(guard),
             _in_flight: in_flight,
         }))
@@ -209,13 +269,20 @@
             Err(refusal) => Err(refusal),
         };
         let unused = exchange.hop.close_allowance();
-        match result.and_then(|response| self.check_response(response, attempt.as_ref())) {
-            Ok(response) => Ok(self.pass_on(response, context, exchange, unused)),
-            Err(refusal) => {
-                let refusal = self.end_refused(exchange, refusal).await;
-                Err((refusal, unused))
-            }
-        }
+        let refusal = match result {
+            Ok(response) => match self.check_response(&response, attempt.as_ref()) {
+                Ok(()) => return Ok(self.pass_on(response, context, exchange, unused)),
+                Err(refusal) => {
+                    if refusal.reason() == RefusalReason::TargetShed {
+                        self.keep_connection(&mut exchange, response.into_body());
+                    }
+                    refusal
+                }
+            },
+            Err(refusal) => refusal,
+        };
+        let refusal = self.end_refused(exchange, refusal).await;
+        Err((refusal, unused))
     }
 
     /// Id that the caller gave to this attempt.
@@ -253,9 +320,9 @@
     /// provable end.
     fn check_response(
         &self,
-        response: Response<Incoming>,
+        response: &Response<Incoming>,
         attempt: Option<&HeaderValue>,
-    ) -> Result<Response<Incoming>, Refusal> {
+    ) -> Result<(), Refusal> {
         let headers = response.headers();
         if let (Some(name), Some(attempt)) = (&self.dialect.attempt_id, attempt)
             && headers.get(name) != Some(attempt)
@@ -269,7 +336,21 @@
         if !self.dialect.allows_unframed && !is_end_provable(headers, response.body()) {
             return Err(Refusal::unknown(RefusalReason::AnswerCutShort));
         }
-        Ok(response)
+        Ok(())
+    }
+
+    /// Reads the rest of a response that is not passed on, so that its connection can be used again. A target that sheds
+    /// many requests would otherwise get a new connection for each.
+    fn keep_connection(&self, exchange: &mut GateExchange, body: Incoming) {
+        let Some(lease) = exchange.lease.take() else {
+            return;
+        };
+        self.tasks.spawn(async move {
+            let read = Limited::new(body, MAX_SHED_BYTES).collect();
+            if matches!(timeout(SHED_BODY_TIMEOUT, read).await, Ok(Ok(_))) {
+                lease.release();
+            }
+        });
     }
 
     fn pass_on(
@@ -303,10 +384,6 @@
     async fn end_refused(&self, mut exchange: Box<GateExchange>, refusal: Refusal) -> Refusal {
         let end = super::attempt_end::exchange_end(&refusal);
         exchange.finish(end);
-        if refusal.reason() == RefusalReason::TargetShed {
-            // The response of a shed request is short; its connection is closed rather than read.
-            return refusal;
-        }
         let is_lost = refusal.reason() == RefusalReason::OutcomeLost;
         let Some(running) = exchange.running.take().filter(|_| is_lost) else {
             return refusal;
@@ -329,6 +406,11 @@
     }
 }
 
+/// Longest body of the response to a shed request that is read to keep the connection.
+const MAX_SHED_BYTES: usize = 4_096;
+/// Time within which that body must arrive.
+const SHED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Pause that is suggested after a refusal for overload: levels and queues change within it.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
--- a/crates/node/src/data/hops.rs
+++ b/crates/node/src/data/hops.rs
@@ -1,7 +1,8 @@
 //! Inbound exchanges that run at the local target, and the calls that the target makes on their behalf.
 
 use {
-    jujubeline_core::{HopId, RootId},
+    super::ExchangeContext,
+    jujubeline_core::{Class, HopId, RootId, stable_hash},
     jujubeline_overload::{Level, RetryAllowance, RetryGrant, RetryLedger},
     parking_lot::Mutex,
     std::{
@@ -24,6 +25,8 @@
     pub deadline: Instant,
     /// Root request.
     pub root: RootId,
+    /// Class of the inbound exchange.
+    pub class: Class,
     /// Cancelled when the inbound exchange ends.
     pub ended: CancellationToken,
 }
@@ -38,6 +41,8 @@
 #[derive(Debug, Default)]
 struct State {
     by_id: HashMap<HopId, OpenHop>,
+    /// Exchanges by the hash of the id that their caller gave to the attempt.
+    by_attempt: HashMap<u64, HopId>,
     ledger: RetryLedger,
 }
 
@@ -75,12 +80,14 @@
 
     /// Records an inbound exchange and its retry allowance until the guard is dropped.
     #[must_use]
-    pub fn open(self: &Arc<Self>, deadline: Instant, root: RootId, retries: u32) -> HopGuard {
+    pub fn open(self: &Arc<Self>, context: &ExchangeContext, attempt: Option<&str>) -> HopGuard {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let attempt = attempt.map(|attempt| stable_hash(attempt.as_bytes()));
         let hop = Hop {
             id,
-            deadline,
-            root,
+            deadline: context.deadline,
+            root: context.root,
+            class: context.class,
             ended: CancellationToken::new(),
         };
         let mut state = self.state.lock();
@@ -94,11 +101,15 @@
                 level: Level::OPEN,
             },
         );
-        state.ledger.open(id, RetryAllowance::new(retries));
+        state.ledger.open(id, RetryAllowance::new(context.retries));
+        if let Some(attempt) = attempt {
+            state.by_attempt.insert(attempt, id);
+        }
         drop(state);
         HopGuard {
             hops: Arc::clone(self),
             id,
+            attempt,
         }
     }
 
@@ -108,6 +119,14 @@
         Some(self.state.lock().by_id.get(&id)?.hop.clone())
     }
 
+    /// The inbound exchange that runs the attempt with this id, while it is in flight here.
+    #[must_use]
+    pub fn by_attempt(&self, attempt: &str) -> Option<Hop> {
+        let state = self.state.lock();
+        let id = state.by_attempt.get(&stable_hash(attempt.as_bytes()))?;
+        Some(state.by_id.get(id)?.hop.clone())
+    }
+
     /// Records a call on behalf of an exchange until the guard is dropped.
     #[must_use]
     pub fn call(self: &Arc<Self>, id: HopId, now: Instant) -> CallGuard {
@@ -123,9 +142,10 @@
         }
     }
 
-    /// Records the level that a call of an exchange met.
-    pub fn meet_level(&self, id: HopId, level: Level) {
+    /// Records the level that a call of an exchange met, and the class of the call.
+    pub fn meet_level(&self, id: HopId, level: Level, class: Class) {
         if let Some(open) = self.state.lock().by_id.get_mut(&id) {
+            let level = level.translated(class, open.hop.class);
             open.level = open.level.min(level);
         }
     }
@@ -161,6 +181,7 @@
 pub struct HopGuard {
     hops: Arc<Hops>,
     id: HopId,
+    attempt: Option<u64>,
 }
 
 impl HopGuard {
@@ -204,6 +225,12 @@
         let removed = {
             let mut state = self.hops.state.lock();
             state.ledger.close(self.id);
+            // The same attempt may run again here by now.
+            if let Some(attempt) = self.attempt
+                && state.by_attempt.get(&attempt) == Some(&self.id)
+            {
+                state.by_attempt.remove(&attempt);
+            }
             state.by_id.remove(&self.id)
         };
         if let Some(open) = removed {
--- a/crates/node/src/data/problem.rs
+++ b/crates/node/src/data/problem.rs
@@ -81,7 +81,9 @@
 const fn status(refusal: &Refusal) -> u16 {
     let status = refusal.reason().status();
     match (refusal.outcome(), status) {
-        (Outcome::NotRun, 502 | 504) => 503,
+        (Outcome::NotRun, 499 | 502 | 504) => 503,
+        // The exchange that a call belonged to has ended; the target that made the call still waits for a response.
+        (Outcome::Ran | Outcome::Unknown, 499) => 504,
         (Outcome::Ran | Outcome::Unknown, 408 | 421 | 429 | 503) => 502,
         _ => status,
     }
--- a/crates/node/src/data/service.rs
+++ b/crates/node/src/data/service.rs
@@ -1,8 +1,8 @@
 //! What the entry node has learned about the targets of one service.
 
 use {
-    super::peers::Peer,
-    jujubeline_core::{Class, EntryName, NodeId, RefusalReason, RetryReason, RetryStop, RootId},
+    super::{ExchangeContext, peers::Peer},
+    jujubeline_core::{EntryName, NodeId, RefusalReason, RetryReason, RetryStop},
     jujubeline_overload::{
         Arrival, Candidate, ExchangeEnd, LearnedLevels, Level, LoadReport, Pick, Place,
         RetryAllowance, RetryBudget, RetryQuestion, Router, TargetView, decide_retry,
@@ -88,12 +88,11 @@
     /// `admission_level` when only the learned levels exclude all targets, otherwise `no_target`.
     pub fn choose(
         self: &Arc<Self>,
-        entry: &EntryName,
-        class: Class,
-        root: RootId,
+        context: &ExchangeContext,
         tried: &[NodeId],
         now: Instant,
     ) -> Result<Choice, RefusalReason> {
+        let (entry, class, root) = (&context.entry, context.class, context.root);
         let level_refused = Cell::new(false);
         let pick = {
             let mut decisions = self.decisions.lock();
@@ -102,7 +101,8 @@
                 if tried.contains(node) {
                     return false;
                 }
-                let admitted = levels.admits(entry, node, class, root, now);
+                // The work above a call would be wasted; the level keeps further root requests away in front.
+                let admitted = context.is_call || levels.admits(entry, node, class, root, now);
                 level_refused.set(level_refused.get() || !admitted);
                 admitted
             };
--- /dev/null
+++ b/crates/node/src/decisions/mod.rs
@@ -0,0 +1,7 @@
+//! Structured log of decisions: one JSON line each, bounded, and never blocking the data path.
+
+mod decision;
+mod decision_log;
+mod line_budget;
+
+pub use {decision::Decision, decision_log::DecisionLog, line_budget::LineBudget};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 mod crash_exchange;
 pub mod data;
+pub mod decisions;
 mod error;
 pub mod metrics;
 mod node;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -54,6 +54,8 @@
     pub dialect: Arc<Dialect>,
     /// Where the catalogue comes from.
     pub catalogue_source: CatalogueSource,
+    /// Lines that the decision log writes in a second at most; 0 for none.
+    pub decision_lines_per_s: u32,
     /// Longest time that a planned stop waits for requests in flight.
     pub stop_grace: Duration,
 }
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -172,6 +172,7 @@
         ready_address: None,
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
+        decision_lines_per_s: 0,
         stop_grace: Duration::from_secs(5),
     };
     let sockets = Sockets::bind(&settings).await.unwrap();
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -48,6 +48,7 @@
         ready_address: None,
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
+        decision_lines_per_s: 0,
         stop_grace: Duration::from_secs(1),
     }
 }
@@ -83,6 +84,7 @@
             class: Class::Normal,
             deadline_ms: 2_000,
             retry_bound: 3,
+            max_attempts: None,
             concurrency: 80,
             at_most_once: false,
             keyed: true,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -35,6 +35,7 @@
         ready_address: None,
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
+        decision_lines_per_s: 0,
         stop_grace: Duration::from_secs(1),
     }
 }
@@ -56,6 +57,7 @@
             class: Class::Normal,
             deadline_ms: 2_000,
             retry_bound: 3,
+            max_attempts: None,
             concurrency: 80,
             at_most_once: false,
             keyed: true,
--- a/crates/overload/src/admission/gate_admission.rs
+++ b/crates/overload/src/admission/gate_admission.rs
@@ -17,6 +17,8 @@
 /// A request that asks to run at the local target.
 #[derive(Debug, Clone)]
 pub struct AdmissionRequest {
+    /// Whether a target makes the request on behalf of an exchange in flight.
+    pub is_call: bool,
     /// Class of the catalogue entry.
     pub class: Class,
     /// Root request.
@@ -290,7 +292,8 @@
         if request.deadline <= now + self.limit.expected_latency(now) {
             return Err(RefusalReason::Deadline);
         }
-        if !self.level.admit(request.class, request.root) {
+        // The work above a call would be wasted; the level keeps further root requests away in front.
+        if !self.level.admit(request.class, request.root) && !request.is_call {
             return Err(RefusalReason::AdmissionLevel);
         }
         if self.entries.is_full() && self.queue.is_empty() {
--- a/crates/overload/src/admission/level.rs
+++ b/crates/overload/src/admission/level.rs
@@ -51,6 +51,18 @@
         FIRST_KEYS[class.rank()] + u16::from(root_slot(root))
     }
 
+    /// The level for requests of another class whose calls have the class of this one: the same share of the root
+    /// requests is admitted, so that a request is refused in front whose calls would be refused.
+    #[must_use]
+    pub fn translated(self, from: Class, to: Class) -> Self {
+        let first_key = |class: Class| Self::key(class, 0) / SLOTS * SLOTS;
+        let slots = self.0.saturating_sub(first_key(from)).min(SLOTS);
+        if slots == SLOTS {
+            return Self::OPEN;
+        }
+        Self::new(first_key(to) + slots)
+    }
+
     /// Whether the level admits a request.
     #[must_use]
     pub fn admits(self, class: Class, root: RootId) -> bool {
--- a/crates/overload/src/retry/decision.rs
+++ b/crates/overload/src/retry/decision.rs
@@ -11,6 +11,8 @@
 pub struct RetryQuestion {
     /// Why a retry is considered.
     pub reason: RetryReason,
+    /// Whether the failed attempt reached a target. One that did not costs no target any work.
+    pub reached_target: bool,
     /// What is known about the execution of the failed attempt.
     pub outcome: Outcome,
     /// Whether the request may run more than once.
@@ -41,6 +43,9 @@
     if remaining <= question.expected {
         return Err(RetryStop::DeadlineTooClose);
     }
+    if !question.reached_target {
+        return Ok(question.reason);
+    }
     if allowance.left() == 0 {
         return Err(RetryStop::AllowanceSpent);
     }
--- a/crates/protocol/schema/node.capnp
+++ b/crates/protocol/schema/node.capnp
@@ -112,6 +112,8 @@
   host @11 :Text;
   split @12 :List(Share);
   unkeyed @13 :Bool;
+  # 0 for no bound of its own.
+  maxAttempts @14 :UInt32;
 }
 
 struct Share {
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -125,6 +125,7 @@
     });
     builder.set_host(entry.host.as_deref().unwrap_or_default());
     builder.set_unkeyed(!entry.keyed);
+    builder.set_max_attempts(entry.max_attempts.unwrap_or(0));
     // The check of the catalogue bounds the number of shares.
     let count = u32::try_from(entry.split.len()).unwrap_or(u32::MAX);
     let mut shares = builder.init_split(count);
@@ -170,6 +171,7 @@
         retry_bound: reader.get_retry_bound(),
         concurrency: reader.get_concurrency(),
         at_most_once: reader.get_at_most_once(),
+        max_attempts: Some(reader.get_max_attempts()).filter(|&attempts| attempts > 0),
         keyed: !reader.get_unkeyed(),
         prefer: match reader.get_prefer()? {
             node_capnp::Preference::Goodput => Preference::Goodput,
--- a/crates/protocol/src/node_capnp.rs
+++ b/crates/protocol/src/node_capnp.rs
@@ -2937,11 +2937,15 @@
         pub fn get_unkeyed(self) -> bool {
             self.reader.get_bool_field(17)
         }
+        #[inline]
+        pub fn get_max_attempts(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3159,6 +3163,14 @@
         pub fn set_unkeyed(&mut self, value: bool)  {
             self.builder.set_bool_field(17, value);
         }
+        #[inline]
+        pub fn get_max_attempts(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_max_attempts(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3170,122 +3182,129 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 236] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 252] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(71, 56, 50, 31, 208, 41, 243, 191),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3407,6 +3426,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 120, 65, 116, 116, 101, 109),
+            ::capnp::word(112, 116, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3424,6 +3452,7 @@
                 11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::node_capnp::share::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3437,9 +3466,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,2,0,1,3,10,7,4,12,13];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,14,2,0,1,3,10,7,4,12,13];
         pub(crate) const TYPE_ID: u64 = 0xbff3_29d0_1f32_3847;
     }
 }
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -226,6 +226,7 @@
         class: Class::Critical,
         deadline_ms: 5_000,
         retry_bound: 2,
+        max_attempts: None,
         concurrency: 95,
         at_most_once: true,
         keyed: true,
