Name no removals from before the start of a node; bound retries and stops by the platform's figures

A state that begins with a replacement now counts as without history before it, so peers get it whole. Ruled out: an older version from the store, and the index of the data path.

The deadline is now written at the moment of each sending.

Retry budgets take the share and slack of the deployment, divided by the members; a stop serves for a notice of 2.5 s while it is not ready, and ends a second before it is killed.

--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -185,7 +185,12 @@
         if names.len() < entries.len() {
             return Err(invalid(revision, "a name occurs twice".to_owned()));
         }
-        let mut next = self.clone();
+        // A node that has just started cannot name what was removed before.
+        let mut next = if self.revision == 0 {
+            Self::empty(revision)
+        } else {
+            self.clone()
+        };
         let removed: Vec<EntryName> = self
             .entries()
             .map(|entry| entry.name.clone())
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -102,6 +102,8 @@
                 dialect: std::sync::Arc::default(),
                 catalogue_source: jujubeline_node::CatalogueSource::default(),
                 decision_lines_per_s: 0,
+                retry_limits: None,
+                leave_notice: Duration::ZERO,
                 stop_grace: STOP_GRACE,
             };
             seeds.push(control_address);
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -119,7 +119,20 @@
         argument("COUNT")
     )]
     pub decision_lines_per_s: Option<String>,
-    /// Longest time, in milliseconds, that a planned stop waits for requests in flight; default 30000
+    /// Retries that a service may get from all nodes together, as a share of the requests for it; with --retry-slack
+    #[bpaf(long("retry-share"), env("JUJUBELINE_RETRY_SHARE"), argument("SHARE"))]
+    pub retry_share: Option<String>,
+    /// Retries that a service may get from all nodes together beyond that share in 10 s
+    #[bpaf(long("retry-slack"), env("JUJUBELINE_RETRY_SLACK"), argument("COUNT"))]
+    pub retry_slack: Option<String>,
+    /// Time, in seconds, after which a node that was asked to stop is killed; bounds the stop and its notice
+    #[bpaf(
+        long("kill-after-s"),
+        env("JUJUBELINE_KILL_AFTER_S"),
+        argument("SECONDS")
+    )]
+    pub kill_after_s: Option<String>,
+    /// Longest time, in milliseconds, that a planned stop takes; default 30000, or a second less than --kill-after-s
     #[bpaf(
         long("stop-grace-ms"),
         env("JUJUBELINE_STOP_GRACE_MS"),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,6 +8,7 @@
     error_stack::Report,
     jujubeline_core::{Dialect, Peer, Step, StepError},
     jujubeline_node::{CatalogueSource, NodeSettings},
+    jujubeline_overload::FleetRetryLimits,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -19,8 +20,15 @@
 const DEFAULT_DECISION_LINES: u32 = 20;
 /// Grace time of a planned stop.
 const DEFAULT_STOP_GRACE_MS: u32 = 30_000;
+/// Time for which a node that stops still serves new requests. The platform asks once a second whether a node is ready and
+/// sends no new callers after two misses.
+const LEAVE_NOTICE: Duration = Duration::from_millis(2_500);
+/// Part of the platform's grace time that is left for closing connections and for announcing that the node leaves.
+const STOP_RESERVE: Duration = Duration::from_secs(1);
 /// Longest grace time: one hour.
 const MAX_STOP_GRACE_MS: u32 = 3_600_000;
+/// Highest number in a setting that may have fractions.
+const MAX_FRACTION: f64 = 86_400.0;
 /// Highest number of connections or slots.
 const MAX_COUNT: u32 = 65_536;
 /// Longest name of an instance, region, data centre or service; names travel in datagrams of 1,200 bytes.
@@ -35,6 +43,8 @@
 /// A report on the first setting that is missing or invalid, by flag, variable and value.
 pub fn check(options: &RunOptions) -> DaemonResult<NodeSettings> {
     let (dialect, catalogue_source) = deployment(options.deployment.as_ref())?;
+    let kill_after =
+        fraction("kill-after-s", options.kill_after_s.as_ref())?.map(Duration::from_secs_f64);
     let settings = NodeSettings {
         node: name("node", options.node.as_ref())?,
         region: name("region", options.region.as_ref())?,
@@ -71,12 +81,19 @@
         dialect: Arc::new(dialect),
         catalogue_source,
         decision_lines_per_s: lines(options.decision_lines_per_s.as_ref())?,
-        stop_grace: Duration::from_millis(u64::from(count(
-            "stop-grace-ms",
-            options.stop_grace_ms.as_ref(),
-            DEFAULT_STOP_GRACE_MS,
-            MAX_STOP_GRACE_MS,
-        )?)),
+        retry_limits: retry_limits(options)?,
+        leave_notice: kill_after.map_or(Duration::ZERO, |kill_after| {
+            LEAVE_NOTICE.min(kill_after / 2)
+        }),
+        stop_grace: match (&options.stop_grace_ms, kill_after) {
+            (None, Some(kill_after)) => kill_after.saturating_sub(STOP_RESERVE),
+            (grace_ms, _) => Duration::from_millis(u64::from(count(
+                "stop-grace-ms",
+                grace_ms.as_ref(),
+                DEFAULT_STOP_GRACE_MS,
+                MAX_STOP_GRACE_MS,
+            )?)),
+        },
     };
     distinct(&settings)?;
     Ok(settings)
@@ -94,6 +111,32 @@
     }
 }
 
+/// Bounds of retries; both are given or none.
+fn retry_limits(options: &RunOptions) -> DaemonResult<Option<FleetRetryLimits>> {
+    let share = fraction("retry-share", options.retry_share.as_ref())?;
+    let slack = fraction("retry-slack", options.retry_slack.as_ref())?;
+    match (share, slack) {
+        (Some(share), Some(slack)) => Ok(Some(FleetRetryLimits { share, slack })),
+        (None, None) => Ok(None),
+        (Some(_), None) => Err(missing("retry-slack")),
+        (None, Some(_)) => Err(missing("retry-share")),
+    }
+}
+
+fn fraction(flag: &'static str, value: Option<&String>) -> DaemonResult<Option<f64>> {
+    value
+        .map(|text| {
+            text.parse()
+                .ok()
+                .filter(|number| (0.0..=MAX_FRACTION).contains(number))
+                .ok_or_else(|| {
+                    let why = format!("expected a number from 0 to {MAX_FRACTION}");
+                    invalid(flag, text, &why)
+                })
+        })
+        .transpose()
+}
+
 /// An address that may be missing.
 ///
 /// # Errors
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -119,6 +119,8 @@
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
         decision_lines_per_s: 0,
+        retry_limits: None,
+        leave_notice: Duration::ZERO,
         stop_grace: Duration::from_secs(30),
     })
 }
--- a/crates/node/src/data/context.rs
+++ b/crates/node/src/data/context.rs
@@ -9,6 +9,14 @@
 /// Time kept back at each hop so that a response can still travel back before the deadline.
 pub const RETURN_ALLOWANCE: Duration = Duration::from_millis(1);
 
+/// Time left before a deadline, less the allowance for the return path.
+#[must_use]
+pub fn remaining(deadline: Instant, now: Instant) -> Duration {
+    deadline
+        .saturating_duration_since(now)
+        .saturating_sub(RETURN_ALLOWANCE)
+}
+
 /// What travels with a request from the entry node to the gate.
 #[derive(Debug, Clone)]
 pub struct ExchangeContext {
@@ -36,8 +44,6 @@
     /// Time left before the deadline, less the allowance for the return path.
     #[must_use]
     pub fn remaining(&self, now: Instant) -> Duration {
-        self.deadline
-            .saturating_duration_since(now)
-            .saturating_sub(RETURN_ALLOWANCE)
+        remaining(self.deadline, now)
     }
 }
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -57,11 +57,12 @@
         let (callers_address, data_address) = (callers.local_address()?, data.local_address()?);
         let signals = StopSignals::default();
         let (tasks, exchanges) = (TaskTracker::new(), TaskTracker::new());
-        let routes = Arc::new(Routes::new(Place {
+        let place = Place {
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
             region: settings.region.clone(),
-        }));
+        };
+        let routes = Arc::new(Routes::new(place, settings.retry_limits));
         let local = views.local_target.subscribe();
         let target = local.borrow().clone();
         let hops = Hops::new();
@@ -107,6 +108,7 @@
             own_service: settings.service.clone(),
             metrics,
             exchanges: exchanges.clone(),
+            leaving: signals.leaving.clone(),
             drain: signals.drain.clone(),
         });
         let path = Self {
@@ -182,6 +184,11 @@
         &self.tasks
     }
 
+    /// Says that the node is not ready any more and asks callers to close their connections, while it still serves.
+    pub fn leave(&self) {
+        self.signals.leaving.cancel();
+    }
+
     /// Refuses new exchanges and waits for those in flight. Returns whether all of them ended within the grace time.
     pub async fn drain(&self, grace: Duration) -> bool {
         self.signals.drain.cancel();
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -21,7 +21,9 @@
         claims::Claims,
         decisions::{Decision, DecisionLog},
     },
-    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request},
+    http::{
+        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header, request,
+    },
     hyper::body::Incoming,
     jujubeline_catalogue::{ANY_METHOD, Entry},
     jujubeline_core::{
@@ -70,6 +72,8 @@
     pub metrics: Arc<Metrics>,
     /// Exchanges in flight.
     pub exchanges: TaskTracker,
+    /// Cancelled when the node is not ready any more.
+    pub leaving: CancellationToken,
     /// Cancelled when the node refuses new exchanges.
     pub drain: CancellationToken,
 }
@@ -87,19 +91,20 @@
 impl EntryNode {
     /// Responds to a caller.
     pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        match self.forward(request).await {
+        let is_http1 = request.version() < Version::HTTP_2;
+        let mut response = match self.forward(request).await {
             Ok(response) => response,
             Err(refusal) => {
                 self.metrics.refused(refusal.reason());
-                let mut response = problem_response(&refusal, &self.dialect);
-                if refusal.reason() == RefusalReason::Draining {
-                    response
-                        .headers_mut()
-                        .insert(header::CONNECTION, HeaderValue::from_static("close"));
-                }
-                response
+                problem_response(&refusal, &self.dialect)
             }
+        };
+        if is_http1 && self.leaving.is_cancelled() {
+            response
+                .headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
     async fn forward(
--- a/crates/node/src/data/forward_headers.rs
+++ b/crates/node/src/data/forward_headers.rs
@@ -1,7 +1,11 @@
 //! Reading, writing and removing headers on the way.
 
 use {
-    super::{ExchangeContext, claim_header::ClaimHeader, context::RETURN_ALLOWANCE},
+    super::{
+        ExchangeContext,
+        claim_header::ClaimHeader,
+        context::{RETURN_ALLOWANCE, remaining},
+    },
     http::{HeaderMap, HeaderName, HeaderValue, Uri, header},
     jujubeline_core::{Class, Dialect, HopId, ProcessId, RootId, header_names as names},
     std::{
@@ -152,7 +156,7 @@
 
 /// Adds the headers that the gate reads.
 pub fn write_context(headers: &mut HeaderMap, context: &ExchangeContext, now: Instant) {
-    headers.insert(names::DEADLINE_MS, remaining_ms(context, now));
+    headers.insert(names::DEADLINE_MS, remaining_ms(context.deadline, now));
     headers.insert(names::ROOT, hex_value::<32>(context.root));
     headers.insert(
         names::CLASS,
@@ -176,16 +180,15 @@
     }
 }
 
-/// Adds the headers that the target reads, and those that it copies to its own calls.
+/// Adds the headers that the target reads, and those that it copies to its own calls. The deadline follows at the moment
+/// of sending.
 pub fn write_target_context(
     headers: &mut HeaderMap,
     dialect: &Dialect,
     context: &ExchangeContext,
     hop: HopId,
     process: Option<&ProcessId>,
-    now: Instant,
 ) {
-    headers.insert(dialect.deadline.clone(), remaining_ms(context, now));
     if dialect.propagates_exchange {
         headers.insert(names::ROOT, hex_value::<32>(context.root));
         headers.insert(names::HOP, hex_value::<16>(u128::from(hop)));
@@ -197,8 +200,9 @@
     }
 }
 
-fn remaining_ms(context: &ExchangeContext, now: Instant) -> HeaderValue {
-    let remaining_ms = u64::try_from(context.remaining(now).as_millis()).unwrap_or(u64::MAX);
+/// Header value for the time left before a deadline.
+pub fn remaining_ms(deadline: Instant, now: Instant) -> HeaderValue {
+    let remaining_ms = u64::try_from(remaining(deadline, now).as_millis()).unwrap_or(u64::MAX);
     HeaderValue::from(remaining_ms)
 }
 
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -311,7 +311,6 @@
             context,
             hop,
             self.target.borrow().process.as_ref(),
-            Instant::now(),
         );
         Ok(request)
     }
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -69,6 +69,8 @@
 /// Steps of a stop, shared by all listeners of a node.
 #[derive(Debug, Clone, Default)]
 pub struct StopSignals {
+    /// The node is not ready any more, and still serves.
+    pub leaving: CancellationToken,
     /// New exchanges are refused, and HTTP/2 connections get GOAWAY.
     pub drain: CancellationToken,
     /// No exchange is in flight any more; connections end.
--- a/crates/node/src/data/routes.rs
+++ b/crates/node/src/data/routes.rs
@@ -8,7 +8,7 @@
     crate::Views,
     jujubeline_coordination::membership::{Member, Presence, TargetState},
     jujubeline_core::{NodeId, ServiceName},
-    jujubeline_overload::{Candidate, CandidateState, Place},
+    jujubeline_overload::{Candidate, CandidateState, FleetRetryLimits, Place},
     parking_lot::RwLock,
     std::{collections::HashMap, sync::Arc, time::Instant},
 };
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub struct Routes {
     place: Place,
+    retry_limits: Option<FleetRetryLimits>,
     index: RwLock<Arc<CatalogueIndex>>,
     services: RwLock<Arc<Services>>,
 }
@@ -26,9 +27,10 @@
 impl Routes {
     /// No routes yet.
     #[must_use]
-    pub fn new(place: Place) -> Self {
+    pub fn new(place: Place, retry_limits: Option<FleetRetryLimits>) -> Self {
         Self {
             place,
+            retry_limits,
             index: RwLock::default(),
             services: RwLock::default(),
         }
@@ -86,6 +88,9 @@
                     .cloned()
                     .unwrap_or_else(|| Arc::new(Service::new(self.place.clone(), now)));
                 service.update(&candidates, endpoints, now);
+                if let Some(limits) = self.retry_limits {
+                    service.limit_retries(limits.of_one(members.len()));
+                }
                 (name.clone(), service)
             })
             .collect();
--- a/crates/node/src/data/service.rs
+++ b/crates/node/src/data/service.rs
@@ -5,7 +5,7 @@
     jujubeline_core::{EntryName, NodeId, RefusalReason, RetryReason, RetryStop},
     jujubeline_overload::{
         Arrival, Candidate, ExchangeEnd, LearnedLevels, Level, LoadReport, Pick, Place,
-        RetryAllowance, RetryBudget, RetryQuestion, Router, TargetView, decide_retry,
+        RetryAllowance, RetryBudget, RetryLimits, RetryQuestion, Router, TargetView, decide_retry,
     },
     parking_lot::{Mutex, RwLock},
     std::{cell::Cell, collections::HashMap, net::SocketAddr, sync::Arc, time::Instant},
@@ -81,6 +81,11 @@
         decisions.levels.expire(now);
     }
 
+    /// Uses other bounds for the retry budget from now on.
+    pub fn limit_retries(&self, limits: RetryLimits) {
+        self.decisions.lock().budget.set_limits(limits);
+    }
+
     /// Chooses a target that was not tried yet and whose gate would probably admit the request.
     ///
     /// # Errors
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ExchangeContext, Gate, OutgoingBody,
+        forward_headers::remaining_ms,
         gate::pool_refusal,
         hops::HopGuard,
         target_pool::{FRESH_FOR, Lease},
@@ -70,6 +71,7 @@
                 .await
                 .map_err(|error| pool_refusal(&error))?;
             let lease = self.lease.insert(lease);
+            tell_deadline(self.gate, self.deadline, &mut request);
             let again = if self.may_repeat {
                 copy(&request)
             } else {
@@ -122,7 +124,7 @@
     async fn wait_silent(
         &mut self,
         mut sending: Pin<&mut impl Future<Output = Sent>>,
-        again: Request<OutgoingBody>,
+        mut again: Request<OutgoingBody>,
         sent_at: Instant,
     ) -> Result<Sent, Refusal> {
         let mut watch = ConnectionWatch::new(ProbeKind::FreshConnection, sent_at);
@@ -149,6 +151,7 @@
             return self.wait_until_deadline(sending).await;
         };
         self.gate.metrics.retried(RetryReason::ConnectionStalled);
+        tell_deadline(self.gate, self.deadline, &mut again);
         let second = fresh.sender().try_send_request(again);
         tokio::select! {
             sent = sending.as_mut() => Ok(sent),
@@ -165,6 +168,14 @@
     }
 }
 
+/// States how much time is left at the moment of sending, which may be long after the request was made ready.
+fn tell_deadline(gate: &Gate, deadline: Instant, request: &mut Request<OutgoingBody>) {
+    let remaining = remaining_ms(deadline, Instant::now());
+    request
+        .headers_mut()
+        .insert(gate.dialect.deadline.clone(), remaining);
+}
+
 /// A copy of a request whose body is held.
 fn copy(request: &Request<OutgoingBody>) -> Option<Request<OutgoingBody>> {
     let OutgoingBody::Whole(bytes) = request.body() else {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -195,8 +195,14 @@
     /// When exchanges outlasted the grace time; they were cut off and their callers saw a connection that ended early.
     pub async fn stop(self) -> NodeResult<()> {
         log::info!("node {} drains", self.settings.node);
+        self.data.leave();
         self.set_target_state(TargetState::Draining);
-        let drained = self.data.drain(self.settings.stop_grace).await;
+        tokio::time::sleep(self.settings.leave_notice).await;
+        let grace = self
+            .settings
+            .stop_grace
+            .saturating_sub(self.settings.leave_notice);
+        let drained = self.data.drain(grace).await;
         self.set_target_state(TargetState::Gone);
         self.data.close().await;
         drop(self.data);
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -86,7 +86,7 @@
     }
 
     fn ready(&self) -> Response<ResponseBody> {
-        if self.entry.drain.is_cancelled() {
+        if self.entry.leaving.is_cancelled() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "draining");
         }
         if self.entry.routes.index().revision() == 0 {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     jujubeline_core::{DataCentre, Dialect, NodeId, Region, ServiceName},
+    jujubeline_overload::FleetRetryLimits,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -56,6 +57,10 @@
     pub catalogue_source: CatalogueSource,
     /// Lines that the decision log writes in a second at most; 0 for none.
     pub decision_lines_per_s: u32,
-    /// Longest time that a planned stop waits for requests in flight.
+    /// Bounds of retries that all nodes keep together, where the deployment states them.
+    pub retry_limits: Option<FleetRetryLimits>,
+    /// Time for which a node that stops still serves new requests, so that callers notice that it is not ready.
+    pub leave_notice: Duration,
+    /// Longest time that a planned stop takes, the notice included, before requests in flight are cut off.
     pub stop_grace: Duration,
 }
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -49,6 +49,8 @@
         dialect: std::sync::Arc::default(),
         catalogue_source: jujubeline_node::CatalogueSource::default(),
         decision_lines_per_s: 0,
+        retry_limits: None,
+        leave_notice: Duration::ZERO,
         stop_grace: Duration::from_secs(1),
     }
 }
--- a/crates/overload/examples/admission.rs
+++ b/crates/overload/examples/admission.rs
@@ -22,6 +22,7 @@
             Class::Low
         };
         let request = AdmissionRequest {
+            is_call: false,
             class,
             root: u128::from(number),
             entry: "records-read".into(),
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -20,7 +20,8 @@
     crash::{ClearReport, CrashId, CrashReport, Quarantine, QuarantineReport, SuspectDecision},
     exchange_end::ExchangeEnd,
     retry::{
-        Arrival, RetryAllowance, RetryBudget, RetryGrant, RetryLedger, RetryQuestion, decide_retry,
+        Arrival, FleetRetryLimits, RetryAllowance, RetryBudget, RetryGrant, RetryLedger,
+        RetryLimits, RetryQuestion, decide_retry,
     },
     routing::{Candidate, CandidateState, LoadReport, Pick, Place, Router, TargetView},
 };
--- a/crates/overload/src/retry/decision.rs
+++ b/crates/overload/src/retry/decision.rs
@@ -49,7 +49,11 @@
     if allowance.left() == 0 {
         return Err(RetryStop::AllowanceSpent);
     }
-    if !budget.withdraw(now) {
+    let granted = match question.outcome {
+        Outcome::NotRun => budget.withdraw(now),
+        Outcome::Ran | Outcome::Unknown => budget.withdraw_rerun(now),
+    };
+    if !granted {
         return Err(RetryStop::BudgetSpent);
     }
     allowance.spend();
--- a/crates/overload/src/retry/mod.rs
+++ b/crates/overload/src/retry/mod.rs
@@ -8,6 +8,6 @@
 pub use {
     decision::{RetryQuestion, decide_retry},
     retry_allowance::{RetryAllowance, RetryGrant},
-    retry_budget::{Arrival, RetryBudget},
+    retry_budget::{Arrival, FleetRetryLimits, RetryBudget, RetryLimits},
     retry_ledger::RetryLedger,
 };
--- a/crates/overload/tests/admission.rs
+++ b/crates/overload/tests/admission.rs
@@ -11,6 +11,7 @@
 
 fn request(class: Class, now: Instant) -> AdmissionRequest {
     AdmissionRequest {
+        is_call: false,
         class,
         root: 1,
         entry: class.label().into(),
--- /dev/null
+++ b/crates/overload/tests/calls.rs
@@ -0,0 +1,81 @@
+//! Calls that targets make on behalf of exchanges in flight.
+
+use {
+    jujubeline_core::{Class, Outcome, RefusalReason, RetryReason, RetryStop, cases},
+    jujubeline_overload::{
+        AdmissionRequest, Admitted, GateAdmission, Level, RetryAllowance, RetryBudget,
+        RetryQuestion, decide_retry,
+    },
+    std::time::{Duration, Instant},
+};
+
+cases! {
+    /// Guards against a request that is admitted in front although its calls would be refused, and the other way round.
+    fn is_translated(level: u16, from: Class, to: Class, expected: u16) {
+        assert_eq!(Level::new(level).translated(from, to).keys(), expected);
+    }
+    open: (512, Class::High, Class::Normal, 512),
+    calls_unaffected: (300, Class::High, Class::Normal, 512),
+    half_of_the_calls: (192, Class::High, Class::Normal, 320),
+    no_calls: (128, Class::High, Class::Normal, 256),
+    same_class: (300, Class::Normal, Class::Normal, 300),
+    critical_calls: (64, Class::Critical, Class::Normal, 320),
+}
+
+fn request(class: Class, root: u128, is_call: bool, now: Instant) -> AdmissionRequest {
+    AdmissionRequest {
+        is_call,
+        class,
+        root,
+        entry: "roster".into(),
+        entry_concurrency: 1_000,
+        deadline: now + Duration::from_secs(60),
+    }
+}
+
+/// Guards against work above a call that is wasted because the level of the service below excludes the call. Answers a
+/// surge at a target with 4 exact slots.
+#[test]
+fn a_call_waits_where_a_new_request_is_refused() {
+    let mut now = Instant::now();
+    let mut admission = GateAdmission::new(64, now);
+    admission.set_exact_slots(Some(4));
+    let mut refused = 0;
+    for root in 0..400 {
+        now += Duration::from_millis(5);
+        match admission.offer(&request(Class::Normal, root, false, now), now) {
+            Err(RefusalReason::AdmissionLevel) => refused += 1,
+            Ok(Admitted::Run(_) | Admitted::Wait(_)) | Err(_) => {}
+        }
+        let _ = admission.decide(now);
+    }
+    assert!(refused > 0, "the surge lowers the level");
+    let call = admission.offer(&request(Class::High, u128::MAX, true, now), now);
+    assert!(matches!(call, Ok(Admitted::Wait(_))), "{call:?}");
+    assert_eq!(admission.limit(), 4);
+}
+
+/// Guards against a retry that is not made for lack of budget although no target has seen the request, and against one
+/// that costs a target work and is not counted.
+#[test]
+fn only_attempts_that_reached_a_target_cost_budget() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(now);
+    while budget.withdraw(now) {}
+    let question = |reached_target| RetryQuestion {
+        reason: RetryReason::RefusedNotRun,
+        reached_target,
+        outcome: Outcome::NotRun,
+        idempotent: false,
+        deadline: now + Duration::from_secs(1),
+        expected: Duration::from_millis(100),
+    };
+    let mut allowance = RetryAllowance::new(1);
+    for _ in 0..3 {
+        let decided = decide_retry(&question(false), &mut allowance, &mut budget, now);
+        assert_eq!(decided, Ok(RetryReason::RefusedNotRun));
+    }
+    assert_eq!(allowance.left(), 1);
+    let decided = decide_retry(&question(true), &mut allowance, &mut budget, now);
+    assert_eq!(decided, Err(RetryStop::BudgetSpent));
+}
--- a/crates/overload/tests/properties.rs
+++ b/crates/overload/tests/properties.rs
@@ -118,6 +118,7 @@
 
     fn retry(&mut self, hop: u64) -> bool {
         let question = RetryQuestion {
+            reached_target: true,
             reason: RetryReason::AnswerLost,
             outcome: Outcome::Unknown,
             idempotent: true,
--- a/crates/overload/tests/retries.rs
+++ b/crates/overload/tests/retries.rs
@@ -13,6 +13,7 @@
     fn decides(idempotent: bool, outcome: Outcome, remaining_ms: u64, allowance: u32, spent: u32, expected: Result<RetryReason, RetryStop>) {
         let now = Instant::now();
         let question = RetryQuestion {
+            reached_target: true,
             reason: RetryReason::AnswerLost,
             outcome,
             idempotent,
--- a/crates/overload/tests/smoke.rs
+++ b/crates/overload/tests/smoke.rs
@@ -35,6 +35,7 @@
 
     let mut gate = GateAdmission::new(560, now);
     let request = AdmissionRequest {
+        is_call: false,
         class: Class::Critical,
         root: 7,
         entry: "invoices".into(),
@@ -51,6 +52,7 @@
 
     let mut allowance = RetryAllowance::new(3);
     let question = RetryQuestion {
+        reached_target: true,
         reason: RetryReason::RefusedNotRun,
         outcome: Outcome::NotRun,
         idempotent: false,
