Leave calls to the target that made them, survive SIGHUP, and let refused callers return spread

A target that reports room counts as loaded by its latency at three times the usual, which keeps more calls in their data centre.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -51,10 +51,11 @@
         .change_context(DaemonError::Start)
 }
 
-/// SIGTERM and SIGINT.
+/// SIGTERM and SIGINT, and SIGHUP, which would otherwise end the process.
 pub struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hang_up: Signal,
 }
 
 impl StopSignals {
@@ -67,14 +68,21 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate()).change_context(DaemonError::Start)?,
             interrupt: signal(SignalKind::interrupt()).change_context(DaemonError::Start)?,
+            hang_up: signal(SignalKind::hangup()).change_context(DaemonError::Start)?,
         })
     }
 
-    /// Waits for the first of the signals.
+    /// Waits for SIGTERM or SIGINT. Settings come from flags and environment variables, which stay the same for the
+    /// life of a process, so SIGHUP changes nothing.
     pub async fn wait(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                Some(()) = self.hang_up.recv() => {
+                    log::info!("reload: settings take effect at the next start; nothing changes");
+                }
+            }
         }
     }
 }
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -5,7 +5,7 @@
 use {
     jujubeline_core::cases,
     std::{net::TcpListener, process::Output},
-    support::{VALID, daemon, exchange, get, start, terminate},
+    support::{VALID, daemon, exchange, get, hang_up, start, terminate},
 };
 
 cases! {
@@ -52,6 +52,19 @@
         "",
         &["--stop-grace-ms", "JUJUBELINE_STOP_GRACE_MS", "\"30s\""],
     ),
+    unknown_deployment: (&["--deployment", "x"], "", &["--deployment", "JUJUBELINE_DEPLOYMENT", "\"x\""]),
+    share_without_slack: (&["--retry-share", "0.2"], "", &["--retry-slack", "JUJUBELINE_RETRY_SLACK", "no value"]),
+    negative_share: (
+        &["--retry-share", "-1", "--retry-slack", "5"],
+        "",
+        &["--retry-share", "JUJUBELINE_RETRY_SHARE", "\"-1\""],
+    ),
+    kill_time_no_number: (&["--kill-after-s", "soon"], "", &["--kill-after-s", "JUJUBELINE_KILL_AFTER_S", "\"soon\""]),
+    lines_no_number: (
+        &["--decision-lines-per-s", "many"],
+        "",
+        &["--decision-lines-per-s", "JUJUBELINE_DECISION_LINES_PER_S", "\"many\""],
+    ),
     bad_seed: (&["--seed", "127.0.0.1:1,x"], "", &["--seed", "JUJUBELINE_SEED", "127.0.0.1:1,x"]),
 }
 
@@ -81,6 +94,16 @@
     assert_eq!(started.child.wait().unwrap().code(), Some(0));
 }
 
+/// Guards against a platform that announces changed settings and thereby ends the process.
+#[test]
+fn sighup_ends_nothing() {
+    let mut started = start(&[]);
+    hang_up(&started.child);
+    assert!(get(started.operators, "/livez").contains("200 OK"));
+    terminate(&started.child);
+    assert_eq!(started.child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards against an announcement that is lost or believed although it is invalid.
 #[test]
 fn a_target_announces_itself() {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -89,7 +89,17 @@
 
 /// Asks a process to stop.
 pub fn terminate(child: &Child) {
+    send_signal(child, "-TERM");
+}
+
+/// Tells a process that its settings have changed.
+#[allow(dead_code, reason = "only one of the test programs needs it")]
+pub fn hang_up(child: &Child) {
+    send_signal(child, "-HUP");
+}
+
+fn send_signal(child: &Child, signal: &str) {
     let process = child.id().to_string();
-    let sent = Command::new("kill").args(["-TERM", &process]).status();
+    let sent = Command::new("kill").args([signal, &process]).status();
     assert!(sent.unwrap().success());
 }
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -125,6 +125,8 @@
         let hop = accepted.hop.take();
         exchange.call = hop.as_ref().map(|hop| self.hops.call(hop.id, started));
         let run = self.run(&mut accepted, body, &mut exchange);
+        // Where targets name the exchange themselves, they give up its calls with it.
+        let hop = hop.filter(|_| self.dialect.propagates_exchange);
         let result = match &hop {
             None => run.await,
             Some(hop) => hop
@@ -143,6 +145,7 @@
                 Ok(response)
             }
             Err(refusal) => {
+                let refusal = self.invite(&accepted, refusal);
                 exchange.refused();
                 self.record(
                     &accepted,
@@ -370,6 +373,24 @@
         }
     }
 
+    /// Suggests when to come back to a caller whose request was refused for overload.
+    fn invite(&self, accepted: &Accepted, refusal: Refusal) -> Refusal {
+        let is_overload = matches!(
+            refusal.reason(),
+            RefusalReason::AdmissionLevel
+                | RefusalReason::ConcurrencyLimit
+                | RefusalReason::QueueFull
+                | RefusalReason::QueueTimeout
+                | RefusalReason::TargetShed
+        );
+        if refusal.outcome() != Outcome::NotRun || !is_overload {
+            return refusal;
+        }
+        let context = &accepted.context;
+        let after = return_after(context.remaining(Instant::now()), context.root);
+        refusal.with_retry_after(after)
+    }
+
     fn may_retry(&self, accepted: &mut Accepted, service: &Service, refusal: &Refusal) -> bool {
         let Some(reason) = retry_reason(refusal) else {
             return false;
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -236,6 +236,14 @@
             .is_some_and(|entry| entry.needs_claim())
     }
 
+    /// Whether the target takes new work.
+    pub(super) fn takes_work(&self) -> bool {
+        matches!(
+            self.target.borrow().state,
+            TargetState::Cold | TargetState::Ready
+        )
+    }
+
     fn check(&self, context: &ExchangeContext) -> Result<(), Refusal> {
         // The address of an instance that is gone may belong to an instance of another service.
         if context.service != self.service {
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -144,7 +144,8 @@
                 () = sleep_until(check_at.min(self.deadline).into()) => {}
             }
         }
-        if !self.hop.spend() {
+        // A target that has begun to leave gets nothing again.
+        if !self.gate.takes_work() || !self.hop.spend() {
             return self.wait_until_deadline(sending).await;
         }
         let Ok(mut fresh) = self.gate.pool.lease_new(self.deadline).await else {
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -21,7 +21,7 @@
     exchange_end::ExchangeEnd,
     retry::{
         Arrival, FleetRetryLimits, RetryAllowance, RetryBudget, RetryGrant, RetryLedger,
-        RetryLimits, RetryQuestion, decide_retry,
+        RetryLimits, RetryQuestion, decide_retry, return_after,
     },
     routing::{Candidate, CandidateState, LoadReport, Pick, Place, Router, TargetView},
 };
--- a/crates/overload/src/routing/target.rs
+++ b/crates/overload/src/routing/target.rs
@@ -27,6 +27,8 @@
 const REFUSAL_FACTOR: f64 = 3.0;
 /// Multiple of its usual latency above which a target counts as loaded.
 const LOADED_LATENCY: f64 = 2.0;
+/// The same while the target reports room: then latency also rises with the mix of requests, which says nothing about it.
+const LOADED_LATENCY_WITH_ROOM: f64 = 3.0;
 
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -101,9 +103,14 @@
     }
 
     pub(crate) fn is_loaded(&self, now: Instant) -> bool {
+        let latency = if self.has_report(now) {
+            LOADED_LATENCY_WITH_ROOM
+        } else {
+            LOADED_LATENCY
+        };
         self.refused_recently(now)
             || self.fresh_utilisation(now) >= LOADED_UTILISATION
-            || self.latency.is_above_floor(LOADED_LATENCY)
+            || self.latency.is_above_floor(latency)
     }
 
     /// Expected cost of one more request; lower is better.
@@ -143,9 +150,15 @@
     }
 
     fn fresh_utilisation(&self, now: Instant) -> f64 {
-        let fresh = self
-            .reported
-            .is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFE);
-        if fresh { self.utilisation } else { 0.0 }
+        if self.has_report(now) {
+            self.utilisation
+        } else {
+            0.0
+        }
+    }
+
+    fn has_report(&self, now: Instant) -> bool {
+        self.reported
+            .is_some_and(|at| now.saturating_duration_since(at) < REPORT_LIFE)
     }
 }
--- a/crates/overload/tests/calls.rs
+++ b/crates/overload/tests/calls.rs
@@ -4,7 +4,7 @@
     jujubeline_core::{Class, Outcome, RefusalReason, RetryReason, RetryStop, cases},
     jujubeline_overload::{
         AdmissionRequest, Admitted, GateAdmission, Level, RetryAllowance, RetryBudget,
-        RetryQuestion, decide_retry,
+        RetryQuestion, decide_retry, return_after,
     },
     std::time::{Duration, Instant},
 };
@@ -79,3 +79,17 @@
     let decided = decide_retry(&question(true), &mut allowance, &mut budget, now);
     assert_eq!(decided, Err(RetryStop::BudgetSpent));
 }
+
+quickcheck::quickcheck! {
+    /// Guards against callers that return together and make a surge of their own, and against a suggestion that a caller
+    /// ignores because it leaves too little time.
+    fn refused_callers_return_spread(remaining_ms: u16) -> bool {
+        let remaining = Duration::from_millis(remaining_ms.into());
+        let times: Vec<_> = (0..200_u64)
+            .map(|root| return_after(remaining, u128::from(root.wrapping_mul(0x9E37_79B9_7F4A_7C15))))
+            .collect();
+        let distinct: std::collections::HashSet<_> = times.iter().collect();
+        let is_short = remaining < Duration::from_millis(900);
+        times.iter().all(|time| *time <= remaining / 3) && (is_short || distinct.len() > 50)
+    }
+}
