--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -30,7 +30,7 @@
         Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason, RootId,
         ServiceName, header_names as names, stable_hash,
     },
-    jujubeline_overload::{ExchangeEnd, RetryAllowance, RetryQuestion},
+    jujubeline_overload::{ExchangeEnd, RetryAllowance, RetryQuestion, return_after},
     std::{
         sync::Arc,
         time::{Duration, Instant},
