--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -55,7 +55,7 @@
     unknown_deployment: (&["--deployment", "x"], "", &["--deployment", "JUJUBELINE_DEPLOYMENT", "\"x\""]),
     share_without_slack: (&["--retry-share", "0.2"], "", &["--retry-slack", "JUJUBELINE_RETRY_SLACK", "no value"]),
     negative_share: (
-        &["--retry-share", "-1", "--retry-slack", "5"],
+        &["--retry-share=-1", "--retry-slack", "5"],
         "",
         &["--retry-share", "JUJUBELINE_RETRY_SHARE", "\"-1\""],
     ),
--- /dev/null
+++ b/crates/daemon/tests/platform.rs
@@ -0,0 +1,335 @@
+//! A daemon on the users' platform: stand-ins of the object store and of a target, and requests as clients send them.
+
+mod support;
+
+use {
+    http::Method,
+    jujubeline_core::cases,
+    jujubeline_standin::platform::PlatformStandin,
+    serde_json::json,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    support::{Started, exchange, get, start},
+    tokio::runtime::Runtime,
+};
+
+/// Longest wait for a state that the daemon reaches by itself.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A target that answers by path and counts the requests that arrive.
+struct Target {
+    address: SocketAddr,
+    arrivals: Arc<AtomicU32>,
+}
+
+impl Target {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let arrivals = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&arrivals);
+        // The thread ends with the process of the test.
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let counter = Arc::clone(&counter);
+                thread::spawn(move || serve(stream, &counter));
+            }
+        });
+        Self { address, arrivals }
+    }
+
+    fn arrivals(&self) -> u32 {
+        self.arrivals.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(mut stream: TcpStream, arrivals: &AtomicU32) {
+    let mut buffer = Vec::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        let Some(end) = find(&buffer, b"\r\n\r\n") else {
+            match stream.read(&mut chunk) {
+                Ok(0) | Err(_) => return,
+                Ok(count) => buffer.extend_from_slice(&chunk[..count]),
+            }
+            continue;
+        };
+        let head = String::from_utf8(buffer.drain(..end + 4).collect()).unwrap();
+        arrivals.fetch_add(1, Ordering::SeqCst);
+        let path = head.split(' ').nth(1).unwrap();
+        let id = header(&head, "x-jujubeline-attempt-id").unwrap_or_default();
+        let answer = match path.rsplit('/').next().unwrap() {
+            "cut" => return,
+            "foreign" => answer(
+                "200 OK",
+                "another",
+                "x-jujubeline-response-seal: s\r\n",
+                "foreign",
+            ),
+            "shed" => answer(
+                "503 Service Unavailable",
+                &id,
+                "x-jujubeline-not-executed: 1\r\n",
+                "",
+            ),
+            "failed" => answer(
+                "500 Internal Server Error",
+                &id,
+                "x-jujubeline-response-seal: s\r\n",
+                "why",
+            ),
+            _ => answer("200 OK", &id, "x-jujubeline-response-seal: s\r\n", &head),
+        };
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
+}
+
+fn answer(status: &str, id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nx-jujubeline-attempt-id: {id}\r\n{headers}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn header(text: &str, name: &str) -> Option<String> {
+    text.lines().find_map(|line| {
+        let (known, value) = line.split_once(':')?;
+        known
+            .eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+/// A daemon with its target and the store.
+struct World {
+    daemon: Started,
+    target: Target,
+    store: PlatformStandin,
+    _runtime: Runtime,
+}
+
+fn configuration(version: &str) -> serde_json::Value {
+    json!({
+        "version": version,
+        "routes": {
+            "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "service"],
+            "rows": [
+                ["r-safe", "a.example", "/safe/", "safe", 2000, 2, 2, "schedules"],
+                ["r-unsafe", "a.example", "/unsafe/", "unsafe", 2000, 0, 2, "schedules"],
+            ],
+        },
+        "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 16]]},
+    })
+}
+
+impl World {
+    fn start() -> Self {
+        let runtime = Runtime::new().unwrap();
+        let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
+        let target = Target::start();
+        let daemon = start(&[
+            "--deployment",
+            "platform",
+            "--platform-address",
+            &store.address().to_string(),
+            "--target-address",
+            &target.address.to_string(),
+            "--retry-share",
+            "0.2",
+            "--retry-slack",
+            "48",
+            "--kill-after-s",
+            "6",
+        ]);
+        Self {
+            daemon,
+            target,
+            store,
+            _runtime: runtime,
+        }
+    }
+
+    /// A world whose daemon knows the configuration and its target.
+    fn ready() -> Self {
+        let world = Self::start();
+        world.write_configuration("0000000c");
+        world.wait_for("/api/ready", "200 OK");
+        assert!(world.beat("i-1", 1, "ready").contains("200 OK"));
+        world.wait_for("/status", "\"target_state\":\"ready\"");
+        world
+    }
+
+    fn write_configuration(&self, version: &str) {
+        let object = json!({"metadata": {"name": "main"}, "spec": configuration(version)});
+        let body = object.to_string();
+        let written = exchange(
+            self.store.address(),
+            &format!(
+                "POST /api/objects/config HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            ),
+        );
+        assert!(written.contains("200 OK"), "{written}");
+    }
+
+    fn beat(&self, id: &str, sequence: u64, state: &str) -> String {
+        let beat = json!({
+            "address": self.target.address.to_string(),
+            "born": 10,
+            "info": {"service": "schedules", "version": "v1", "zone": "dc1", "slots": 4},
+            "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
+        });
+        let body = beat.to_string();
+        exchange(
+            self.daemon.operators,
+            &format!(
+                "POST /api/instances/{id}/heartbeat HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            ),
+        )
+    }
+
+    fn wait_for(&self, path: &str, text: &str) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let found = get(self.daemon.operators, path);
+            if found.contains(text) {
+                return;
+            }
+            assert!(Instant::now() < until, "{text} does not appear in {found}");
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn send(&self, method: &Method, path: &str) -> String {
+        exchange(
+            self.daemon.callers,
+            &format!(
+                "{method} {path} HTTP/1.1\r\nHost: a.example:80\r\nX-Jujubeline-Attempt-Id: 9c41\r\n\
+                 X-Jujubeline-Deadline-Ms: 1500\r\nX-Jujubeline-Caller-Service: forged\r\n\
+                 X-Jujubeline-Target-Instance: forged\r\nConnection: close\r\n\r\n"
+            ),
+        )
+    }
+}
+
+/// Guards against a request that reaches the target changed, for another process, in another's name or with more time
+/// than its client has.
+#[test]
+fn a_request_reaches_its_target_as_sent() {
+    let world = World::ready();
+    let response = world.send(&Method::GET, "/safe/view?a=1");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(
+        header(&response, "x-jujubeline-response-seal").as_deref(),
+        Some("s")
+    );
+    let (_, arrived) = response.split_once("\r\n\r\n").unwrap();
+    assert!(
+        arrived.starts_with("GET /safe/view?a=1 HTTP/1.1"),
+        "{arrived}"
+    );
+    let at_target = |name: &str| header(arrived, name);
+    assert_eq!(
+        at_target("x-jujubeline-attempt-id").as_deref(),
+        Some("9c41")
+    );
+    assert_eq!(
+        at_target("x-jujubeline-caller-service").as_deref(),
+        Some("schedules")
+    );
+    assert_eq!(
+        at_target("x-jujubeline-target-instance").as_deref(),
+        Some("i-1")
+    );
+    let left_ms: u64 = at_target("x-jujubeline-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((1_000..=1_500).contains(&left_ms), "{left_ms} ms");
+    assert!(at_target("jujubeline-root").is_none(), "{arrived}");
+}
+
+cases! {
+    /// Guards against an at-most-once request that runs twice, a refusal that is not true, and bytes of another answer.
+    fn answers(path: &str, status: &str, arrivals: u32) {
+        let world = World::ready();
+        let response = world.send(&Method::POST, path);
+        assert!(response.starts_with(&format!("HTTP/1.1 {status}")), "{response}");
+        assert!(!response.contains("\r\n\r\nforeign"), "{response}");
+        assert_eq!(world.target.arrivals(), arrivals, "{response}");
+        if status == "503" {
+            let after: f64 = header(&response, "retry-after").unwrap().parse().unwrap();
+            assert!(after > 0.0 && after < 0.5, "a third of the time left is 0.5 s, not {after}");
+        }
+    }
+    unsafe_cut: ("/unsafe/cut", "502", 1),
+    unsafe_foreign: ("/unsafe/foreign", "502", 1),
+    unsafe_failed: ("/unsafe/failed", "500", 1),
+    unsafe_shed: ("/unsafe/shed", "503", 1),
+    safe_shed: ("/safe/shed", "503", 1),
+    no_route: ("/other/", "404", 0),
+}
+
+/// Guards against a 404 from a node that knows no configuration, and against callers sent to it.
+#[test]
+fn a_node_without_configuration_refuses_and_is_not_ready() {
+    let world = World::start();
+    let response = world.send(&Method::GET, "/safe/view");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(get(world.daemon.operators, "/api/ready").contains("503"));
+}
+
+/// Guards against work for a target that has begun to leave, and against a delayed heartbeat that takes this back.
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let world = World::ready();
+    assert!(world.beat("i-1", 3, "draining").contains("200 OK"));
+    assert!(world.beat("i-1", 2, "ready").contains("200 OK"));
+    let response = world.send(&Method::GET, "/safe/view");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(world.target.arrivals(), 0);
+    assert!(world.beat("i-1", 4, "strange").contains("400"));
+}
+
+/// Guards against an older configuration that takes the place of a newer one, and against one that never arrives.
+#[test]
+fn a_newer_configuration_takes_effect_and_stays() {
+    let world = World::ready();
+    let revision = |version: u64| format!("\"catalogue_revision\":{version}");
+    world.wait_for("/status", &revision(12));
+    let put = |version: &str| {
+        let body =
+            json!({"metadata": {"name": "main"}, "spec": configuration(version)}).to_string();
+        exchange(
+            world.store.address(),
+            &format!(
+                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            ),
+        )
+    };
+    assert!(put("00000010").contains("200 OK"));
+    world.wait_for("/status", &revision(16));
+    assert!(put("0000000f").contains("200 OK"));
+    thread::sleep(Duration::from_millis(300));
+    world.wait_for("/status", &revision(16));
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -93,7 +93,6 @@
 }
 
 /// Tells a process that its settings have changed.
-#[allow(dead_code, reason = "only one of the test programs needs it")]
 pub fn hang_up(child: &Child) {
     send_signal(child, "-HUP");
 }
