--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{NodeProcess, call, call_http2, connect, entry, get, target};
+use support::{NodeProcess, call, call_http2, connect, entry, get, problem, target};
 
 /// Guards against a data path whose parts work alone but not together.
 #[tokio::test]
@@ -24,3 +24,23 @@
     assert!(gate.stopped().await);
     assert!(edge.stopped().await);
 }
+
+/// Guards against a request that runs at a target of another service, because the address of an instance that is gone was
+/// given to another one.
+#[tokio::test]
+async fn a_gate_of_another_service_runs_nothing() {
+    let target = target(4).await;
+    let mut gate = NodeProcess::start("gate", "invoices", Some(target.address()), 4).await;
+    let mut edge = NodeProcess::start("edge", "-", None, 0).await;
+    let entry = entry("read", "GET", "/schedules/", "schedules", "");
+    connect(&mut [&mut gate, &mut edge], &[&entry]).await;
+    let outdated = format!("member gate schedules {} ready", gate.data);
+    edge.tell(&outdated).await;
+
+    let response = call(edge.callers, get("/schedules/7")).await.unwrap();
+    assert_eq!(response.status(), 503, "{response:?}");
+    assert_eq!(problem(&response)["outcome"], "not_run", "{response:?}");
+    assert!(target.executions().by_key.is_empty());
+    assert!(edge.stopped().await);
+    assert!(gate.stopped().await);
+}
