Keep the statuses of the native protocol; let the target's stand-in read whole responses before a close

contract.rs failed in two tests: a refusal at the deadline got 503 instead of 504, since the platform's rule that a status promises was applied to the native protocol too; it is a property of the dialect now. The stand-in of the target took a connection that a stopping node closes after a whole response for a failed call. The test of the daemon on the platform waits until the data path knows the target; unsafe_shed failed once in its set-up.

--- a/crates/core/src/dialect.rs
+++ b/crates/core/src/dialect.rs
@@ -52,6 +52,8 @@
     pub allows_unframed: bool,
     /// Whether the slots that a target announces are exact, so that no concurrency limit has to be learned.
     pub slots_are_exact: bool,
+    /// Whether the status of a refusal alone tells callers that a request has not run.
+    pub promises_by_status: bool,
     /// Whether `Retry-After` may hold fractions of a second.
     pub has_fractional_retry_after: bool,
     /// Path at which the deployment asks whether the node is ready.
@@ -76,6 +78,7 @@
             propagates_exchange: true,
             allows_unframed: false,
             slots_are_exact: false,
+            promises_by_status: false,
             has_fractional_retry_after: false,
             ready_path: "/readyz",
             is_shed: states_not_run,
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -174,6 +174,9 @@
         world.wait_for("/api/ready", "200 OK");
         assert!(world.beat("i-1", 1, "ready").contains("200 OK"));
         world.wait_for("/status", "\"target_state\":\"ready\"");
+        // The data path learns of the target a moment after the status shows it.
+        let explain = "/explain?host=a.example&method=GET&path=/safe/view";
+        world.wait_for(explain, "\"node\":\"one\"");
         world
     }
 
--- a/crates/node/src/data/problem.rs
+++ b/crates/node/src/data/problem.rs
@@ -23,10 +23,15 @@
 #[must_use]
 pub fn problem_response(refusal: &Refusal, dialect: &Dialect) -> Response<ResponseBody> {
     let reason = refusal.reason();
+    let status = if dialect.promises_by_status {
+        promised_status(refusal)
+    } else {
+        reason.status()
+    };
     let problem = Problem {
         r#type: "about:blank",
         title: reason.title(),
-        status: status(refusal),
+        status,
         outcome: refusal.outcome().to_string(),
         reason: reason.label(),
         retry_after_ms: refusal
@@ -47,6 +52,8 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/problem+json"),
     );
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     response.map(|()| ResponseBody::full(Bytes::from(body)))
 }
 
@@ -54,8 +61,8 @@
 #[must_use]
 pub fn refusal_head(refusal: &Refusal) -> Response<()> {
     let mut response = Response::new(());
-    *response.status_mut() =
-        StatusCode::from_u16(status(refusal)).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = StatusCode::from_u16(refusal.reason().status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(
         header_names::OUTCOME,
@@ -76,9 +83,9 @@
     response
 }
 
-/// Status of a refusal. Statuses 408, 421, 429 and 503 promise that the request has not run, so a refusal without that
-/// proof gets 502, and one with it never gets a status that leaves it open.
-const fn status(refusal: &Refusal) -> u16 {
+/// Status of a refusal where callers know the outcome by the status alone. Statuses 408, 421, 429 and 503 promise that the
+/// request has not run, so a refusal without that proof gets 502, and one with it never gets a status that leaves it open.
+const fn promised_status(refusal: &Refusal) -> u16 {
     let status = refusal.reason().status();
     match (refusal.outcome(), status) {
         (Outcome::NotRun, 499 | 502 | 504) => 503,
--- a/crates/standin/src/targets/target_standin.rs
+++ b/crates/standin/src/targets/target_standin.rs
@@ -18,6 +18,7 @@
         future::pending,
         net::SocketAddr,
         path::PathBuf,
+        pin::pin,
         sync::{
             Arc,
             atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -335,10 +336,13 @@
             response.into_body().collect().await?;
             Ok::<_, hyper::Error>(status)
         };
-        tokio::select! {
-            status = exchange => status.map_err(std::io::Error::other),
-            ended = connection => Err(std::io::Error::other(format!("the node closed the connection: {ended:?}"))),
-        }
+        let (mut connection, mut exchange) = (pin!(connection), pin!(exchange));
+        let status = tokio::select! {
+            status = exchange.as_mut() => status,
+            // A node that stops closes the connection after a whole response.
+            _ = connection.as_mut() => exchange.await,
+        };
+        status.map_err(std::io::Error::other)
     }
 
     fn show_executions(&self) -> Result<Response<ResponseBody>, std::io::Error> {
