--- a/crates/lab/tests/failures/catalogue.rs
+++ b/crates/lab/tests/failures/catalogue.rs
@@ -78,7 +78,7 @@
         .await;
 
         put(platform, "/faults", &json!({"stale_versions": 40})).await;
-        let path = "/apis/jujubeline/v1/catalogue-changes";
+        let path = "/api/objects/catalogue-changes";
         let stale = get_json(platform, path).await.expect("the changes");
         assert!(
             !stale.to_string().contains("added"),
--- a/crates/lab/tests/failures/support.rs
+++ b/crates/lab/tests/failures/support.rs
@@ -152,7 +152,7 @@
 
     /// The shard table of the service as the platform has it.
     pub async fn shard_table(&self) -> Value {
-        let path = format!("/apis/jujubeline/v1/shard-tables/{SERVICE}");
+        let path = format!("/api/objects/shard-tables/{SERVICE}");
         let object = get_json(self.deployment.platform_address, &path).await;
         object.map_or(Value::Null, |object| object["spec"].clone())
     }
