Remember the leaving of a process that no heartbeat has named yet

Cause: a target that leaves without draining first sends its leaving to a node that has just started. Ruled out: a heartbeat with a lower number after the leaving of a known process; the record refuses it and the tests cover it.

--- a/crates/coordination/src/target_record.rs
+++ b/crates/coordination/src/target_record.rs
@@ -2,9 +2,13 @@
 
 use {
     jujubeline_core::{AnnouncedState, Heartbeat, ProcessId, ServiceName, TargetNotice},
-    std::net::SocketAddr,
+    std::{collections::VecDeque, net::SocketAddr},
 };
 
+/// Leavings of processes without a heartbeat that are remembered. A node that has just started meets one as a rule; more
+/// come only where processes start and leave within a heartbeat.
+const MAX_LEFT: usize = 8;
+
 /// The target that belongs to a node, from the node's settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OwnTarget {
@@ -48,6 +52,17 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetRecord {
     process: Option<Process>,
+    /// Processes that left before a heartbeat of them arrived. A heartbeat that was delayed may follow, also at a node
+    /// that started after the heartbeats before.
+    left: VecDeque<Left>,
+}
+
+/// A process that left before a heartbeat of it arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Left {
+    process: ProcessId,
+    /// Start of the process; of the first process with this id that is heard, if the leaving did not state it.
+    born_ms: Option<u64>,
 }
 
 impl TargetRecord {
@@ -79,8 +94,9 @@
         if is_outdated {
             return Noted::Outdated;
         }
-        let keeps_draining =
+        let is_draining =
             is_known && known.is_some_and(|known| known.state == AnnouncedState::Draining);
+        let keeps_draining = is_draining || self.has_left(heartbeat);
         self.process = Some(Process {
             id: heartbeat.process.clone(),
             slots: heartbeat.slots,
@@ -97,15 +113,31 @@
         }
     }
 
+    /// Whether the process of a heartbeat left before any heartbeat of it arrived.
+    fn has_left(&mut self, heartbeat: &Heartbeat) -> bool {
+        let mut same_id = self
+            .left
+            .iter_mut()
+            .filter(|left| left.process == heartbeat.process);
+        same_id.any(|left| *left.born_ms.get_or_insert(heartbeat.born_ms) == heartbeat.born_ms)
+    }
+
     /// A process that leaves gets no new work but may finish what it has.
     fn note_leave(&mut self, process: &ProcessId, born_ms: Option<u64>) -> Noted {
-        let Some(known) = &mut self.process else {
+        let known = self.process.as_mut().filter(|known| {
+            let is_same_start = born_ms.is_none_or(|born_ms| born_ms == known.born_ms);
+            known.id == *process && is_same_start
+        });
+        let Some(known) = known else {
+            self.left.push_back(Left {
+                process: process.clone(),
+                born_ms,
+            });
+            if self.left.len() > MAX_LEFT {
+                self.left.pop_front();
+            }
             return Noted::Outdated;
         };
-        let is_other = born_ms.is_some_and(|born_ms| born_ms != known.born_ms);
-        if known.id != *process || is_other {
-            return Noted::Outdated;
-        }
         known.state = AnnouncedState::Draining;
         Noted::Taken { new_process: false }
     }
--- a/crates/coordination/tests/target_record.rs
+++ b/crates/coordination/tests/target_record.rs
@@ -60,6 +60,11 @@
     of_the_former_process: (vec![beat("b", 11, 1, READY), beat("a", 10, 99, READY)], Noted::Outdated, "b", READY),
     leaving: (vec![beat("a", 10, 1, READY), leave("a", None)], TAKEN, "a", AnnouncedState::Draining),
     back_after_leaving: (vec![beat("a", 10, 1, READY), leave("a", Some(10)), beat("a", 10, 2, READY)], TAKEN, "a", AnnouncedState::Draining),
+    beat_after_unknown_leaving: (vec![leave("a", Some(10)), beat("a", 10, 2, READY)], Noted::Taken { new_process: true }, "a", AnnouncedState::Draining),
+    beats_after_unknown_leaving: (vec![leave("a", None), beat("a", 10, 2, READY), beat("a", 10, 3, READY)], TAKEN, "a", AnnouncedState::Draining),
+    beat_after_leaving_of_the_next: (vec![beat("a", 10, 1, READY), leave("b", Some(11)), beat("b", 11, 1, READY)], Noted::Taken { new_process: true }, "b", AnnouncedState::Draining),
+    reborn_after_unknown_leaving: (vec![leave("a", Some(10)), beat("a", 11, 1, READY)], Noted::Taken { new_process: true }, "a", READY),
+    reborn_after_leaving_without_start: (vec![leave("a", None), beat("a", 10, 2, READY), beat("a", 11, 1, READY)], Noted::Taken { new_process: true }, "a", READY),
     leaving_of_the_former_process: (vec![beat("b", 11, 1, READY), leave("a", Some(10))], Noted::Outdated, "b", READY),
     leaving_of_the_former_start: (vec![beat("a", 11, 1, READY), leave("a", Some(10))], Noted::Outdated, "a", READY),
 }
