Take a member for dead when another node uses its address

Cause: an instance ends without notice and its address goes to an instance of another service. The new node answers the probes of the former one, so the former stays alive for all others. Ruled out: the crash watch of the gate; its state was never gone. A node that meets its own control address under another name, and a prober that hears another name from the address it probed, declare the former member dead. Five cases in membership fail before and pass now.

--- a/crates/coordination/src/membership/membership.rs
+++ b/crates/coordination/src/membership/membership.rs
@@ -410,6 +410,10 @@
             .is_some_and(|record| record.is_gone() || !takes_work(record.member.target_state));
         self.table.describe(Arc::clone(&member));
         self.settle_presence(&member, before.as_ref(), now, output);
+        if member.control_address == self.own.control_address {
+            self.address_taken(&node, now, output);
+            return false;
+        }
         if spread {
             let leaves = member.presence == Presence::Left;
             let stops = !takes_work(member.target_state) && !stopped_before;
--- a/crates/coordination/src/membership/membership/presence.rs
+++ b/crates/coordination/src/membership/membership/presence.rs
@@ -174,6 +174,28 @@
         }
     }
 
+    /// Declares a member dead whose control address belongs to another node by now.
+    ///
+    /// Probes cannot show this end, because the other node answers them. The member's traffic would go to the other node
+    /// for as long as that one lives.
+    pub(super) fn address_taken(&mut self, node: &NodeId, now: Instant, output: &mut Output) {
+        let Some(record) = self.table.get(node) else {
+            return;
+        };
+        if record.is_gone() {
+            return;
+        }
+        let claim = PresenceClaim {
+            node: node.clone(),
+            incarnation: record.member.incarnation,
+            update: record.presence_update.max(record.member.update),
+            presence: Presence::Dead,
+            reporter: self.own.node.clone(),
+        };
+        self.urgent = true;
+        self.declare_dead(claim, now, output);
+    }
+
     /// Declares a member dead.
     pub(super) fn declare_dead(&mut self, claim: PresenceClaim, now: Instant, output: &mut Output) {
         self.end_suspicion(&claim.node);
--- a/crates/coordination/src/membership/membership/probing.rs
+++ b/crates/coordination/src/membership/membership/probing.rs
@@ -143,6 +143,12 @@
             self.health.improve();
             return;
         }
+        let answered_by_other = self.probe.take_if(|probe| probe.sequence == sequence);
+        if let Some(probe) = answered_by_other {
+            self.health.improve();
+            self.address_taken(&probe.node, now, output);
+            return;
+        }
         if let Some(relay) = self.relays.answered(sequence) {
             let sequence = relay.origin_sequence;
             self.send(relay.origin, Kind::Ack, sequence, None, now, output);
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use {
     jujubeline_coordination::membership::{
-        Config, CrashReport, DIGEST_BUCKETS, MemberEvent, Membership, Presence, TargetState,
+        Config, CrashReport, DIGEST_BUCKETS, Member, MemberEvent, Membership, Presence, TargetState,
     },
     jujubeline_core::cases,
     network::{Faults, Network, address, member, name},
@@ -100,6 +100,65 @@
     death_among_hundred_with_loss: (100, 9, 0.05, 14),
 }
 
+cases! {
+    /// Guards against a member that has ended without notice and stays alive for the others, because the node that uses
+    /// its address now answers the probes.
+    fn member_whose_address_is_used_again_is_dead(members: usize, data_centres: usize, drop: f64, seed: u64) {
+        let mut network = Network::settled(members, data_centres, seed);
+        network.faults = faults(drop);
+        network.run(Duration::from_secs(5));
+        let successor = Member {
+            node: name(members).into(),
+            service: "service-of-the-successor".into(),
+            ..member(1, data_centres)
+        };
+        network.restart(1, successor, 0);
+        let known = network.run_until_all(LEAVE_BOUND, |network| {
+            network.all_see(1, Presence::Dead) && network.all_see(members, Presence::Alive)
+        });
+        assert!(known.is_some(), "the former member is still taken for alive");
+        network.run(HEAL_BOUND);
+        assert!(network.all_see(members, Presence::Alive));
+    }
+    reuse_among_three: (3, 1, 0.0, 15),
+    reuse_among_thirteen: (13, 3, 0.0, 16),
+    reuse_among_thirty_with_loss: (30, 3, 0.05, 17),
+    reuse_among_eighty: (80, 4, 0.0, 18),
+}
+
+/// Guards against a member that stays alive where the node at its address does not know it: the prober hears another
+/// name from the address.
+#[test]
+fn probe_that_another_node_answers_shows_the_end_of_a_member() {
+    let mut network = Network::settled(6, 1, 19);
+    network.run(Duration::from_secs(5));
+    let successor = Member {
+        node: name(6).into(),
+        ..member(1, 1)
+    };
+    // It joins nobody, so it hears of the former member only when others mention it.
+    let now = network.now;
+    network.nodes[1].membership =
+        Membership::new(Config::default(), successor, now, &mut network.rng);
+    let config = Config::default();
+    let round = config.probe_period * 6;
+    let former = name(1);
+    let known = network.run_until_all(round + LEAVE_BOUND, |network| {
+        let others = network
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != 1);
+        others
+            .map(|(_, node)| node.membership.presence(&former))
+            .all(|seen| seen == Some(Presence::Dead))
+    });
+    assert!(
+        known.is_some(),
+        "the former member is still taken for alive"
+    );
+}
+
 cases! {
     /// Guards against a paused process that stays dead for the others, or buries its peers when it runs again.
     fn paused_node_refutes(pause: Duration, seed: u64) {
