Refuse at the gate what the calls of a request would fail

Cause: entry nodes learn the level of a chain from responses, but each of 13 entry nodes sends one target a few requests of a kind a second, and the level decays within a second. The gate sees the requests of all entry nodes, so it remembers the level that the calls met by entry, refuses by it and reports it. Two cases in overload/tests/calls.rs; the first needs the new function.

--- a/crates/node/src/data/at_most_once_gate.rs
+++ b/crates/node/src/data/at_most_once_gate.rs
@@ -31,7 +31,7 @@
         context: &ExchangeContext,
         claim: ClaimHeader,
     ) -> Result<Response<ResponseBody>, GateRefusal> {
-        let refused = |refusal| self.refusal(refusal, context.retries);
+        let refused = |refusal| self.refusal(refusal, &context.entry, context.retries);
         let claims = self
             .claims
             .clone()
@@ -53,15 +53,15 @@
             Some(_) => return Err(refused(Refusal::unknown(RefusalReason::BadRequest))),
         };
         let (sender, ended) = oneshot::channel();
-        let (gate, context) = (Arc::clone(self), context.clone());
+        let (gate, claimed) = (Arc::clone(self), context.clone());
         self.tasks.spawn(async move {
-            let result = gate.run_claimed(&claims, run, head, body, &context).await;
+            let result = gate.run_claimed(&claims, run, head, body, &claimed).await;
             // The entry node may have gone away; the response is kept all the same.
             let _ = sender.send(result);
         });
         match ended.await {
             Ok(Ok(response)) => Ok(response.map(ResponseBody::full)),
-            Ok(Err((refusal, unused))) => Err(self.refusal(refusal, unused)),
+            Ok(Err((refusal, unused))) => Err(self.refusal(refusal, &context.entry, unused)),
             Err(_) => Err(refused(Refusal::unknown(RefusalReason::OutcomeLost))),
         }
     }
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -24,7 +24,8 @@
     hyper::body::Incoming,
     jujubeline_coordination::membership::TargetState,
     jujubeline_core::{
-        Class, Dialect, NotRunProof, Refusal, RefusalReason, ServiceName, header_names as names,
+        Class, Dialect, EntryName, NotRunProof, Refusal, RefusalReason, ServiceName,
+        header_names as names,
     },
     jujubeline_overload::{AdmissionRequest, ExchangeEnd, Level, LoadReport},
     std::{
@@ -113,7 +114,7 @@
         if self.needs_claim(context) {
             // The entry node has an older catalogue. Running the request without a claim could run it twice.
             let refusal = Refusal::unknown(RefusalReason::StaleEpoch);
-            return Err(self.refusal(refusal, context.retries));
+            return Err(self.refusal(refusal, &context.entry, context.retries));
         }
         let in_flight = self.exchanges.token();
         let arrived = Instant::now();
@@ -122,14 +123,14 @@
             Ok(exchange) => exchange,
             Err(refusal) => {
                 self.record(id.as_ref(), context, &refusal, arrived);
-                return Err(self.refusal(refusal, context.retries));
+                return Err(self.refusal(refusal, &context.entry, context.retries));
             }
         };
         match self.run(head, body, context, exchange).await {
             Ok(response) => Ok(response),
             Err((refusal, unused)) => {
                 self.record(id.as_ref(), context, &refusal, arrived);
-                Err(self.refusal(refusal, unused))
+                Err(self.refusal(refusal, &context.entry, unused))
             }
         }
     }
@@ -160,7 +161,7 @@
                 running: Some(self.admission.in_flight()),
                 waiting: Some(self.admission.waiting() as u64),
                 limit: Some(self.admission.limit()),
-                level: Some(self.admission.report().0.keys()),
+                level: Some(self.admission.report(&context.entry).0.keys()),
             },
             now,
         );
@@ -362,9 +363,10 @@
     ) -> Response<ResponseBody> {
         let (mut head, incoming) = response.into_parts();
         clean_target_response(&mut head.headers);
-        let (own_level, utilisation) = self.admission.report();
-        // Requests of this kind meet the lower of both: the work up to a refusal further down would be wasted.
-        let level = own_level.min(exchange.hop.level_of_calls());
+        // Requests of this kind meet the lower of both levels: the work up to a refusal further down would be wasted.
+        self.admission
+            .learn_calls(&context.entry, exchange.hop.level_of_calls());
+        let (level, utilisation) = self.admission.report(&context.entry);
         if let Some(load) = read_load(&head.headers) {
             self.admission.hint_utilisation(load.utilisation);
         } else {
@@ -395,8 +397,13 @@
         refusal
     }
 
-    pub(super) fn refusal(&self, refusal: Refusal, retries_unused: u32) -> GateRefusal {
-        let (level, utilisation) = self.admission.report();
+    pub(super) fn refusal(
+        &self,
+        refusal: Refusal,
+        entry: &EntryName,
+        retries_unused: u32,
+    ) -> GateRefusal {
+        let (level, utilisation) = self.admission.report(entry);
         GateRefusal {
             refusal,
             retries_unused,
--- a/crates/node/src/data/target_admission.rs
+++ b/crates/node/src/data/target_admission.rs
@@ -2,7 +2,7 @@
 
 use {
     hdrhistogram::Histogram,
-    jujubeline_core::{Class, RefusalReason},
+    jujubeline_core::{Class, EntryName, RefusalReason},
     jujubeline_overload::{
         AdmissionRequest, Admitted, ExchangeEnd, GateAdmission, Level, Permit, Ticket,
         TicketDecision,
@@ -165,11 +165,26 @@
             .hint_utilisation(utilisation, Instant::now());
     }
 
-    /// Level and utilisation for the headers of a response.
+    /// Takes note of the lowest level that the calls of a request met.
+    pub fn learn_calls(&self, entry: &EntryName, level: Level) {
+        self.state
+            .lock()
+            .admission
+            .learn_calls(entry, level, Instant::now());
+    }
+
+    /// Level of the target itself.
+    #[must_use]
+    pub fn level(&self) -> Level {
+        self.state.lock().admission.level()
+    }
+
+    /// Level that requests of an entry meet, and utilisation, for the headers of a response.
     #[must_use]
-    pub fn report(&self) -> (Level, f64) {
+    pub fn report(&self, entry: &EntryName) -> (Level, f64) {
         let state = self.state.lock();
-        (state.admission.level(), state.admission.utilisation())
+        let level = state.admission.level_of(entry, Instant::now());
+        (level, state.admission.utilisation())
     }
 
     /// 99th percentile of the latency of complete responses.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -319,7 +319,7 @@
             (
                 "jujubeline_admission_level",
                 "Admission level of the gate: 512 admits everything.",
-                Arc::new(move || u64::from(level.report().0.keys())),
+                Arc::new(move || u64::from(level.level().keys())),
             ),
             (
                 "jujubeline_quarantine_entries",
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -132,7 +132,7 @@
 
     fn explanation(&self, entry: Option<Arc<Entry>>, method: &str, path: &str) -> Explanation {
         let now = Instant::now();
-        let (level, _) = self.entry.gate.admission.report();
+        let level = self.entry.gate.admission.level();
         let revision = self.entry.routes.index().revision();
         let mut why = Vec::new();
         let mut targets = Vec::new();
--- a/crates/overload/src/admission/gate_admission.rs
+++ b/crates/overload/src/admission/gate_admission.rs
@@ -4,7 +4,8 @@
     crate::{
         ExchangeEnd,
         admission::{
-            AdmissionLevel, ClassQueue, ConcurrencyLimit, EntryLimit, EntrySlot, Level, Ticket,
+            AdmissionLevel, CallLevels, ClassQueue, ConcurrencyLimit, EntryLimit, EntrySlot, Level,
+            Ticket,
         },
     },
     jujubeline_core::{Class, EntryName, RefusalReason, RootId},
@@ -76,6 +77,7 @@
     limit: ConcurrencyLimit,
     queue: ClassQueue,
     level: AdmissionLevel,
+    calls: CallLevels,
     entries: EntryLimit,
     draining: bool,
     displaced: Vec<TicketDecision>,
@@ -90,6 +92,7 @@
             limit: ConcurrencyLimit::new(max_limit, now),
             queue: ClassQueue::new(now),
             level: AdmissionLevel::new(now),
+            calls: CallLevels::default(),
             entries: EntryLimit::new(),
             draining: false,
             displaced: Vec::new(),
@@ -143,6 +146,12 @@
         }
     }
 
+    /// Takes note of the lowest level that the calls of a request met. Further requests of the entry that have not begun
+    /// are refused by it: their work would be wasted when one of their calls is refused.
+    pub fn learn_calls(&mut self, entry: &EntryName, level: Level, now: Instant) {
+        self.calls.learn(entry, level, now);
+    }
+
     /// Removes a request that waits and whose caller went away. Returns false when it was decided already.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         self.queue.cancel(ticket)
@@ -226,12 +235,18 @@
         self.limit.set_max_limit(max_limit);
     }
 
-    /// Level for the header of responses.
+    /// Level of the target itself.
     #[must_use]
     pub const fn level(&self) -> Level {
         self.level.level()
     }
 
+    /// Level that requests of an entry meet here, their calls included.
+    #[must_use]
+    pub fn level_of(&self, entry: &EntryName, now: Instant) -> Level {
+        self.level.level().min(self.calls.level(entry, now))
+    }
+
     /// Limit in effect.
     #[must_use]
     pub fn limit(&self) -> u32 {
@@ -292,7 +307,14 @@
         if request.deadline <= now + self.limit.expected_latency(now) {
             return Err(RefusalReason::Deadline);
         }
-        // The work above a call would be wasted; the level keeps further root requests away in front.
+        // The work above a call would be wasted; the levels keep further root requests away in front.
+        let calls_admitted = self
+            .calls
+            .level(&request.entry, now)
+            .admits(request.class, request.root);
+        if !request.is_call && !calls_admitted {
+            return Err(RefusalReason::AdmissionLevel);
+        }
         if !self.level.admit(request.class, request.root) && !request.is_call {
             return Err(RefusalReason::AdmissionLevel);
         }
--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Admission at the gate, and what entry nodes learn from it.
 
 mod admission_level;
+mod call_levels;
 mod class_queue;
 mod concurrency_limit;
 mod entry_limit;
@@ -13,6 +14,7 @@
 pub(crate) use learned_level::LearnedLevel;
 pub use {
     admission_level::AdmissionLevel,
+    call_levels::CallLevels,
     class_queue::{ClassQueue, Ticket, WaitingRequest},
     concurrency_limit::ConcurrencyLimit,
     entry_limit::{EntryLimit, EntrySlot},
--- a/crates/overload/tests/calls.rs
+++ b/crates/overload/tests/calls.rs
@@ -3,7 +3,7 @@
 use {
     jujubeline_core::{Class, Outcome, RefusalReason, RetryReason, RetryStop, cases},
     jujubeline_overload::{
-        AdmissionRequest, Admitted, GateAdmission, Level, RetryAllowance, RetryBudget,
+        AdmissionRequest, Admitted, ExchangeEnd, GateAdmission, Level, RetryAllowance, RetryBudget,
         RetryQuestion, decide_retry, return_after,
     },
     std::time::{Duration, Instant},
@@ -55,6 +55,63 @@
     assert_eq!(admission.limit(), 4);
 }
 
+/// Guards against requests that run although their calls are refused, because each of many entry nodes has forgotten the
+/// level by its next request. Answers a service below that takes a quarter of the calls, with 13 entry nodes that send
+/// one request every 130 ms each.
+#[test]
+fn a_gate_refuses_what_its_calls_would_fail() {
+    const ENTRY_NODES: u32 = 13;
+    let start = Instant::now();
+    let below = Level::new(256 + 32);
+    let entry = "roster".into();
+    let mut admission = GateAdmission::new(64, start);
+    admission.set_exact_slots(Some(64));
+    let (mut wasted, mut served) = (0, 0);
+    for number in 0..13_000_u32 {
+        let now = start + Duration::from_millis(130) / ENTRY_NODES * number;
+        let root = u128::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15_F39C_C060_5CED_C835);
+        let request = request(Class::Normal, root, false, now);
+        let Ok(Admitted::Run(permit)) = admission.offer(&request, now) else {
+            continue;
+        };
+        if below.admits(Class::Normal, root) {
+            served += 1;
+        } else {
+            wasted += 1;
+        }
+        admission.learn_calls(&entry, below, now);
+        admission.end(permit, ExchangeEnd::Completed, now);
+    }
+    assert!(served > 3_000, "served {served} of 3,250");
+    assert!(wasted < 50, "{wasted} requests ran for nothing");
+    assert_eq!(
+        admission.level(),
+        Level::OPEN,
+        "the target itself is not overloaded"
+    );
+}
+
+/// Guards against a level that stays after the service below has recovered, or that holds up calls and other entries.
+#[test]
+fn levels_of_calls_end() {
+    let start = Instant::now();
+    let mut admission = GateAdmission::new(64, start);
+    admission.learn_calls(&"roster".into(), Level::LOWEST, start);
+    let refused = admission.offer(&request(Class::Normal, u128::MAX, false, start), start);
+    assert_eq!(refused, Err(RefusalReason::AdmissionLevel));
+    let call = admission.offer(&request(Class::Normal, u128::MAX, true, start), start);
+    assert!(matches!(call, Ok(Admitted::Run(_))), "{call:?}");
+    let mut other = request(Class::Normal, u128::MAX, false, start);
+    other.entry = "register".into();
+    assert!(matches!(
+        admission.offer(&other, start),
+        Ok(Admitted::Run(_))
+    ));
+    let later = start + Duration::from_secs(1);
+    let again = admission.offer(&request(Class::Normal, u128::MAX, false, later), later);
+    assert!(matches!(again, Ok(Admitted::Run(_))), "{again:?}");
+}
+
 /// Guards against a retry that is not made for lack of budget although no target has seen the request, and against one
 /// that costs a target work and is not counted.
 #[test]
