End a stop at its grace time when a request outlasts it

Cause: after the grace time the node waited for a further second for connections whose exchanges were still running, which reached the time of the kill: 6.02 s after SIGTERM with a kill after 6 s, in the new test. Such connections are now cut at once; the other nodes still learn of the leaving. Ruled out: requests that were sent after the drain; the gate refuses them.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -17,12 +17,16 @@
         thread,
         time::{Duration, Instant},
     },
-    support::{Started, exchange, get, start},
+    support::{Started, exchange, get, start, terminate},
     tokio::runtime::Runtime,
 };
 
 /// Longest wait for a state that the daemon reaches by itself.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// Time between the request to stop and the end by force, as the daemons of these tests are told.
+const KILL_AFTER: Duration = Duration::from_secs(6);
+/// Time that a slow request takes, longer than a stop.
+const SLOW: Duration = Duration::from_secs(12);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,6 +74,10 @@
         let id = header(&head, "x-jujubeline-attempt-id").unwrap_or_default();
         let answer = match path.rsplit('/').next().unwrap() {
             "cut" => return,
+            "slow" => {
+                thread::sleep(SLOW);
+                answer("200 OK", &id, "x-jujubeline-response-seal: s\r\n", "late")
+            }
             "foreign" => answer(
                 "200 OK",
                 "another",
@@ -133,6 +141,7 @@
             "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "service"],
             "rows": [
                 ["r-safe", "a.example", "/safe/", "safe", 2000, 2, 2, "schedules"],
+                ["r-slow", "a.example", "/slow/", "safe", 20000, 2, 2, "schedules"],
                 ["r-unsafe", "a.example", "/unsafe/", "unsafe", 2000, 0, 2, "schedules"],
             ],
         },
@@ -157,7 +166,7 @@
             "--retry-slack",
             "48",
             "--kill-after-s",
-            "6",
+            &KILL_AFTER.as_secs().to_string(),
         ]);
         Self {
             daemon,
@@ -313,6 +322,32 @@
     assert!(world.beat("i-1", 4, "strange").contains("400"));
 }
 
+/// Guards against a process that is killed at the end of its grace time because a request outlasts it: its exchanges
+/// would be cut without order, and the other nodes would not learn that it left.
+#[test]
+fn a_request_that_outlasts_the_stop_does_not_prolong_it() {
+    let mut world = World::ready();
+    let callers = world.daemon.callers;
+    let request = thread::spawn(move || {
+        let mut stream = TcpStream::connect(callers).unwrap();
+        let request = "GET /slow/slow HTTP/1.1\r\nHost: a.example\r\nX-Jujubeline-Attempt-Id: 9c42\r\n\
+                       X-Jujubeline-Deadline-Ms: 15000\r\n\r\n";
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut response = Vec::new();
+        // Cut, as it is still running at the end of the grace time.
+        let _ = stream.read_to_end(&mut response);
+    });
+    while world.target.arrivals() == 0 {
+        thread::sleep(PAUSE);
+    }
+    let asked = Instant::now();
+    terminate(&world.daemon.child);
+    world.daemon.child.wait().unwrap();
+    let took = asked.elapsed();
+    assert!(took < KILL_AFTER, "the stop took {took:?}");
+    request.join().unwrap();
+}
+
 /// Guards against an older configuration that takes the place of a newer one, and against one that never arrives.
 #[test]
 fn a_newer_configuration_takes_effect_and_stays() {
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -196,13 +196,18 @@
         timeout(grace, self.exchanges.wait()).await.is_ok()
     }
 
-    /// Closes all connections and joins all tasks.
+    /// Closes all connections and joins all tasks. Connections of exchanges that outlasted the grace time are cut at once.
     pub async fn close(&self) {
         self.signals.close.cancel();
         self.gate.pool.close();
         self.tasks.close();
         self.gate.decisions.stop();
-        if timeout(CLOSE_GRACE, self.tasks.wait()).await.is_err() {
+        let grace = if self.exchanges.is_empty() {
+            CLOSE_GRACE
+        } else {
+            Duration::ZERO
+        };
+        if timeout(grace, self.tasks.wait()).await.is_err() {
             self.signals.cut.cancel();
             self.tasks.wait().await;
         }
