--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -94,6 +94,20 @@
     assert_eq!(started.child.wait().unwrap().code(), Some(0));
 }
 
+cases! {
+    /// Guards against a request that two readers take for different hosts: RFC 9112 asks for one `Host` in HTTP/1.1.
+    fn host_must_be_one(headers: &str, expected: &str) {
+        let started = start(&[]);
+        let request = format!("GET /schedules/1 HTTP/1.1\r\n{headers}connection: close\r\n\r\n");
+        let response = exchange(started.callers, &request);
+        assert!(response.starts_with(expected), "{response}");
+    }
+    none: ("", "HTTP/1.1 400"),
+    two: ("host: a.example\r\nhost: b.example\r\n", "HTTP/1.1 400"),
+    two_equal: ("host: a.example\r\nhost: a.example\r\n", "HTTP/1.1 400"),
+    one: ("host: a.example\r\n", "HTTP/1.1 503"),
+}
+
 /// Guards against a platform that announces changed settings and thereby ends the process.
 #[test]
 fn sighup_ends_nothing() {
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -161,6 +161,11 @@
 
     /// Checks a request that has just arrived.
     fn accept(&self, mut head: request::Parts, now: Instant) -> Result<Accepted, Refusal> {
+        if head.version == Version::HTTP_11
+            && head.headers.get_all(header::HOST).iter().count() != 1
+        {
+            return Err(rejected(RefusalReason::BadRequest));
+        }
         let entry = self.select(&head)?;
         let caller = CallerHeaders::read(&head.headers, &self.dialect)
             .map_err(|_| rejected(RefusalReason::BadRequest))?;
