Join through other nodes within a fraction of a second after a start

Cause: a node asked its contacts once, one after the other with up to 5 s each, and again after a second while alone. Ruled out: late heartbeats, the targets announced themselves within 0.1 s. Contacts are asked at once, for up to a second, and again every 200 ms while one was not reached; the first table exchanges follow after 250 ms and double. The test of two nodes that start together fails before.

--- a/crates/node/src/control/join.rs
+++ b/crates/node/src/control/join.rs
@@ -2,22 +2,41 @@
 
 use {
     super::{membership_actor::MembershipHandle, rpc::Peers},
+    futures::future::join_all,
     std::{net::SocketAddr, time::Duration},
-    tokio::sync::mpsc,
+    tokio::{sync::mpsc, time::timeout},
 };
 
-/// Time between two attempts to find a node while this one knows no other.
+/// Time between two attempts to join while this node is new and knows no other, or has contacts that were not reached.
+/// After a loss of power all nodes start within some hundred milliseconds, and a node that asked once a second refused
+/// requests for lack of targets for a second.
+const RETRY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Attempts in that period; after 10 s a node that is still alone asks less often.
+const EARLY_RETRIES: u32 = 50;
+
+/// Time between two attempts to find a node while this one has known no other for long.
 const ALONE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Attempts to join through a contact from the platform. One that is not reached within a few seconds is probably gone.
+const CONTACT_TRIES: u32 = 15;
+
+/// Time for one attempt to join. A contact without power does not answer at all and must not hold up the others.
+const JOIN_DEADLINE: Duration = Duration::from_secs(1);
+
 /// Time between two table exchanges with a random peer. An exchange sends a digest of 2 KB, so this costs 140 B/s.
 const EXCHANGE_PERIOD: Duration = Duration::from_secs(15);
 
-/// Time between two exchanges of a node that has just started. When many nodes start together, some updates are lost,
-/// and 300 nodes took 117 s to know one another with one exchange a minute.
+/// Time between the start and the first exchange. It doubles up to the early period: nodes that start together join
+/// through nodes that do not know all others yet.
+const FIRST_EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest time between two exchanges of a node that has just started. When many nodes start together, some updates are
+/// lost, and 300 nodes took 117 s to know one another with one exchange a minute.
 const EARLY_EXCHANGE_PERIOD: Duration = Duration::from_secs(3);
 
 /// Exchanges after the start that follow each other in the early period.
-const EARLY_EXCHANGES: u32 = 10;
+const EARLY_EXCHANGES: u32 = 14;
 
 /// Time for one table exchange.
 const EXCHANGE_DEADLINE: Duration = Duration::from_secs(5);
@@ -25,6 +44,13 @@
 /// Contacts from the platform that wait to be joined through.
 pub(super) const MAX_CONTACTS: usize = 64;
 
+/// A contact from the platform that was not reached yet.
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    address: SocketAddr,
+    tries_left: u32,
+}
+
 /// Joins through seeds and through contacts from the platform, then exchanges tables until the task is cancelled.
 pub(super) async fn run(
     seeds: Vec<SocketAddr>,
@@ -33,48 +59,102 @@
     membership: MembershipHandle,
     peers: Peers,
 ) {
-    let mut rounds = 0_u32;
+    let mut unreached: Vec<Contact> = Vec::new();
+    let (mut retries, mut exchanges) = (0_u32, 0_u32);
     loop {
-        for seed in &seeds {
-            join_through(*seed, own, &membership, &peers).await;
-        }
+        let through_seeds = seeds
+            .iter()
+            .map(|seed| join_through(*seed, own, &membership, &peers));
+        join_all(through_seeds).await;
+        unreached = join_through_contacts(unreached, own, &membership, &peers).await;
         let alone = membership.view().borrow().len() <= 1;
-        rounds = rounds.saturating_add(1);
-        let period = match (alone, rounds <= EARLY_EXCHANGES) {
-            (true, _) => ALONE_PERIOD,
-            (false, true) => EARLY_EXCHANGE_PERIOD,
-            (false, false) => EXCHANGE_PERIOD,
+        let period = if alone || !unreached.is_empty() {
+            retries = retries.saturating_add(1);
+            retry_period(retries)
+        } else {
+            exchanges = exchanges.saturating_add(1);
+            exchange_period(exchanges)
         };
-        let wait = tokio::time::sleep(period);
-        tokio::pin!(wait);
-        loop {
-            tokio::select! {
-                () = &mut wait => break,
-                Some(contact) = contacts.recv() => {
-                    join_through(contact, own, &membership, &peers).await;
-                }
+        let received = timeout(period, contacts.recv()).await;
+        if let Ok(Some(address)) = received {
+            unreached.push(Contact {
+                address,
+                tries_left: CONTACT_TRIES,
+            });
+            // Contacts that arrived together are asked together.
+            while unreached.len() < MAX_CONTACTS
+                && let Ok(address) = contacts.try_recv()
+            {
+                unreached.push(Contact {
+                    address,
+                    tries_left: CONTACT_TRIES,
+                });
             }
+            continue;
+        }
+        if received.is_ok() {
+            // Nobody sends contacts any more.
+            tokio::time::sleep(period).await;
         }
         exchange(&membership, &peers).await;
     }
 }
 
-/// Takes over the table of a node that is not known yet, and makes this node known.
+fn retry_period(retries: u32) -> Duration {
+    if retries <= EARLY_RETRIES {
+        RETRY_PERIOD
+    } else {
+        ALONE_PERIOD
+    }
+}
+
+fn exchange_period(exchanges: u32) -> Duration {
+    if exchanges > EARLY_EXCHANGES {
+        return EXCHANGE_PERIOD;
+    }
+    let doubled = FIRST_EXCHANGE_PERIOD * 2_u32.pow(exchanges.saturating_sub(1).min(8));
+    doubled.min(EARLY_EXCHANGE_PERIOD)
+}
+
+/// Asks all contacts at once and returns those that were not reached and may be asked again.
+async fn join_through_contacts(
+    contacts: Vec<Contact>,
+    own: SocketAddr,
+    membership: &MembershipHandle,
+    peers: &Peers,
+) -> Vec<Contact> {
+    let attempts = contacts.into_iter().map(|contact| async move {
+        let reached = join_through(contact.address, own, membership, peers).await;
+        let tries_left = contact.tries_left - 1;
+        (!reached && tries_left > 0).then_some(Contact {
+            tries_left,
+            ..contact
+        })
+    });
+    join_all(attempts).await.into_iter().flatten().collect()
+}
+
+/// Takes over the table of a node that is not known yet, and makes this node known. Returns whether the node is known or
+/// is this one.
 async fn join_through(
     contact: SocketAddr,
     own: SocketAddr,
     membership: &MembershipHandle,
     peers: &Peers,
-) {
+) -> bool {
     if contact == own || membership.knows(contact) {
-        return;
+        return true;
     }
-    match peers.members(contact, Vec::new(), EXCHANGE_DEADLINE).await {
+    match peers.members(contact, Vec::new(), JOIN_DEADLINE).await {
         Ok(members) => {
             membership.merge(contact, members).await;
             membership.announce().await;
+            true
+        }
+        Err(error) => {
+            log::debug!("join through {contact}: {error:?}");
+            false
         }
-        Err(error) => log::debug!("join through {contact}: {error:?}"),
     }
 }
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -102,6 +102,46 @@
     timeout(WAIT, control.stop()).await.expect("all tasks end");
 }
 
+/// Guards against nodes that start together and refuse requests for lack of targets, because the one that starts first
+/// asks the others too seldom. Each must know the other within half a second of the later start.
+#[tokio::test]
+async fn nodes_that_start_together_know_each_other_soon() {
+    let reserved = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let late = reserved.local_addr().expect("an address");
+    let first = Control::start(
+        &NodeSettings {
+            seeds: vec![late],
+            ..settings("a")
+        },
+        SystemTime::now(),
+    )
+    .await
+    .expect("start");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(reserved);
+    let second = Control::start(
+        &NodeSettings {
+            control_address: late,
+            ..settings("b")
+        },
+        SystemTime::now(),
+    )
+    .await
+    .expect("start");
+    for control in [&first, &second] {
+        let mut members = control.views().members;
+        timeout(
+            Duration::from_millis(500),
+            members.wait_for(|members| members.len() == 2),
+        )
+        .await
+        .expect("in time")
+        .expect("open");
+    }
+    timeout(WAIT, first.stop()).await.expect("all tasks end");
+    timeout(WAIT, second.stop()).await.expect("all tasks end");
+}
+
 /// Guards against a change that reverts the catalogue or skips a revision.
 #[tokio::test]
 async fn only_the_next_change_is_applied() {
