--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,20 +7,24 @@
 mod run;
 mod settings;
 
-use {options::Command, std::process::ExitCode};
+use {logging::StateLog, options::Command, std::process::ExitCode};
 
 fn main() -> ExitCode {
     let command = options::command().run();
-    logging::start();
+    let log = StateLog::start(matches!(command, Command::Run(_)));
     let result = match command {
         Command::Run(run) => run::run(&run),
         Command::Dev(dev) => dev::run(&dev),
     };
-    match result {
+    let code = match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("jujubelined: {report:#}");
+            let why = format!("{report:#}");
+            eprintln!("jujubelined: {why}");
+            log.failed(&why);
             ExitCode::FAILURE
         }
-    }
+    };
+    log.stop();
+    code
 }
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -4,7 +4,11 @@
 
 use {
     jujubeline_core::cases,
-    std::{net::TcpListener, process::Output},
+    std::{
+        io::{BufRead, BufReader},
+        net::TcpListener,
+        process::{Output, Stdio},
+    },
     support::{VALID, daemon, exchange, get, hang_up, start, terminate},
 };
 
@@ -118,6 +122,32 @@
     assert_eq!(started.child.wait().unwrap().code(), Some(0));
 }
 
+/// Guards against a start, reload or stop that engineers on call cannot find in the structured log, and against lines on
+/// standard output that are no JSON.
+#[test]
+fn changes_of_state_are_json_lines() {
+    let mut child = daemon(&VALID, &[])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap())
+        .lines()
+        .map(|line| {
+            let line: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+            assert!(line["time"].is_string(), "{line}");
+            line["change"].as_str().unwrap_or_default().to_owned()
+        });
+    assert!(lines.any(|change| change.contains("node one started")));
+    hang_up(&child);
+    assert!(lines.any(|change| change.starts_with("reload")));
+    terminate(&child);
+    assert!(lines.any(|change| change == "node one drains"));
+    assert!(lines.any(|change| change == "node one stopped"));
+    assert_eq!(lines.count(), 0);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards against an announcement that is lost or believed although it is invalid.
 #[test]
 fn a_target_announces_itself() {
--- a/crates/node/src/decisions/decision_log.rs
+++ b/crates/node/src/decisions/decision_log.rs
@@ -1,7 +1,7 @@
 //! Writer of the decision log.
 
 use {
-    super::{Decision, LineBudget},
+    super::{Decision, LineBudget, StateChange},
     parking_lot::Mutex,
     serde::Serialize,
     std::{
@@ -71,6 +71,11 @@
         self.write(decision, now);
     }
 
+    /// Writes a change of the process's state or of what it believes, unless the bound of this second is reached.
+    pub fn record_state(&self, change: &StateChange<'_>, now: Instant) {
+        self.write(change, now);
+    }
+
     fn write<T: Serialize>(&self, event: &T, now: Instant) {
         let mut state = self.state.lock();
         let State { budget, sender, .. } = &mut *state;
