Ask the local target once who it is when no heartbeat follows a start

Ruled out: the join of the nodes and the catalogue; both were there. A node asks the health check of its target, whose path the configuration states, 100 ms after it knows that path, if no heartbeat came. The answer names the process; a target that leaves answers 503 and gets nothing.

--- a/crates/coordination/src/target_record.rs
+++ b/crates/coordination/src/target_record.rs
@@ -2,7 +2,7 @@
 
 use {
     jujubeline_core::{AnnouncedState, Heartbeat, ProcessId, ServiceName, TargetNotice},
-    std::{collections::VecDeque, net::SocketAddr},
+    std::{collections::VecDeque, net::SocketAddr, time::Duration},
 };
 
 /// Leavings of processes without a heartbeat that are remembered. A node that has just started meets one as a rule; more
@@ -41,7 +41,8 @@
     pub slots: u32,
     /// Its state. A process that has begun to drain stays so.
     pub state: AnnouncedState,
-    born_ms: u64,
+    /// Start of the process; unknown until its first heartbeat if the process answered a question before.
+    born_ms: Option<u64>,
     sequence: u64,
 }
 
@@ -86,10 +87,15 @@
         }
         let known = self.process.as_ref();
         let is_known = known.is_some_and(|known| {
-            known.born_ms == heartbeat.born_ms && known.id == heartbeat.process
+            let is_same_start = known
+                .born_ms
+                .is_none_or(|born_ms| born_ms == heartbeat.born_ms);
+            is_same_start && known.id == heartbeat.process
         });
         let is_outdated = known.is_some_and(|known| {
-            known.born_ms > heartbeat.born_ms || (is_known && known.sequence >= heartbeat.sequence)
+            let is_numbered = is_known && known.born_ms.is_some();
+            known.born_ms > Some(heartbeat.born_ms)
+                || (is_numbered && known.sequence >= heartbeat.sequence)
         });
         if is_outdated {
             return Noted::Outdated;
@@ -105,7 +111,7 @@
             } else {
                 heartbeat.state
             },
-            born_ms: heartbeat.born_ms,
+            born_ms: Some(heartbeat.born_ms),
             sequence: heartbeat.sequence,
         });
         Noted::Taken {
@@ -113,6 +119,23 @@
         }
     }
 
+    /// Takes over a process that answered that it is healthy, if none is known yet and it has not left. Returns whether it
+    /// was taken over.
+    pub fn note_answer(&mut self, process: &ProcessId, slots: u32) -> bool {
+        let has_left = self.left.iter().any(|left| left.process == *process);
+        if self.process.is_some() || has_left {
+            return false;
+        }
+        self.process = Some(Process {
+            id: process.clone(),
+            slots,
+            state: AnnouncedState::Ready(Duration::ZERO),
+            born_ms: None,
+            sequence: 0,
+        });
+        true
+    }
+
     /// Whether the process of a heartbeat left before any heartbeat of it arrived.
     fn has_left(&mut self, heartbeat: &Heartbeat) -> bool {
         let mut same_id = self
@@ -125,7 +148,10 @@
     /// A process that leaves gets no new work but may finish what it has.
     fn note_leave(&mut self, process: &ProcessId, born_ms: Option<u64>) -> Noted {
         let known = self.process.as_mut().filter(|known| {
-            let is_same_start = born_ms.is_none_or(|born_ms| born_ms == known.born_ms);
+            let is_same_start = match (born_ms, known.born_ms) {
+                (Some(born_ms), Some(known_ms)) => born_ms == known_ms,
+                (None, _) | (_, None) => true,
+            };
             known.id == *process && is_same_start
         });
         let Some(known) = known else {
@@ -138,6 +164,7 @@
             }
             return Noted::Outdated;
         };
+        known.born_ms = known.born_ms.or(born_ms);
         known.state = AnnouncedState::Draining;
         Noted::Taken { new_process: false }
     }
--- a/crates/coordination/tests/target_record.rs
+++ b/crates/coordination/tests/target_record.rs
@@ -69,6 +69,29 @@
     leaving_of_the_former_start: (vec![beat("a", 11, 1, READY), leave("a", Some(10))], Noted::Outdated, "a", READY),
 }
 
+cases! {
+    /// Guards against an answer to the node's own question that takes back what a notice said, and against notices that
+    /// are not believed after such an answer.
+    fn answer_then(before: Vec<TargetNotice>, taken: bool, after: Vec<TargetNotice>, state: AnnouncedState) {
+        let mut record = TargetRecord::default();
+        for notice in &before {
+            record.note(notice, &own());
+        }
+        assert_eq!(record.note_answer(&"a".into(), 4), taken);
+        for notice in &after {
+            assert!(matches!(record.note(notice, &own()), Noted::Taken { .. }), "{notice:?}");
+        }
+        assert_eq!(record.process().map(|process| process.state), Some(state));
+    }
+    alone: (vec![], true, vec![], READY),
+    first_beat: (vec![], true, vec![beat("a", 10, 0, AnnouncedState::Draining)], AnnouncedState::Draining),
+    next_process: (vec![], true, vec![beat("b", 11, 1, READY)], READY),
+    leaving_after: (vec![], true, vec![leave("a", Some(10)), beat("a", 10, 7, READY)], AnnouncedState::Draining),
+    reborn_after_leaving: (vec![], true, vec![leave("a", Some(10)), beat("a", 11, 1, READY)], READY),
+    known_before: (vec![beat("a", 10, 1, AnnouncedState::Draining)], false, vec![], AnnouncedState::Draining),
+    left_before: (vec![leave("a", Some(10))], false, vec![beat("a", 10, 2, READY)], AnnouncedState::Draining),
+}
+
 /// Guards against a heartbeat of another target that is taken for the one beside the node.
 #[test]
 fn a_foreign_target_is_not_taken_over() {
--- a/crates/core/src/dialect.rs
+++ b/crates/core/src/dialect.rs
@@ -46,6 +46,8 @@
     pub caller_service: Option<HeaderName>,
     /// Header that names the only process that may run the request.
     pub target_process: Option<HeaderName>,
+    /// Header of a target's response to a health check that names the process that answers.
+    pub answering_process: Option<HeaderName>,
     /// Whether targets copy the headers that identify an exchange to their own calls.
     pub propagates_exchange: bool,
     /// Whether a target may end a response by closing its connection.
@@ -75,6 +77,7 @@
             read_parent: |_| None,
             caller_service: None,
             target_process: None,
+            answering_process: None,
             propagates_exchange: true,
             allows_unframed: false,
             slots_are_exact: false,
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -36,22 +36,29 @@
 struct Target {
     address: SocketAddr,
     arrivals: Arc<AtomicU32>,
+    health_checks: Arc<AtomicU32>,
 }
 
 impl Target {
-    fn start() -> Self {
+    fn start(is_healthy: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let arrivals = Arc::new(AtomicU32::new(0));
+        let health_checks = Arc::new(AtomicU32::new(0));
         let counter = Arc::clone(&arrivals);
+        let checks = Arc::clone(&health_checks);
         // The thread ends with the process of the test.
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let counter = Arc::clone(&counter);
-                thread::spawn(move || serve(stream, &counter));
+                let (counter, checks) = (Arc::clone(&counter), Arc::clone(&checks));
+                thread::spawn(move || serve(stream, is_healthy, &counter, &checks));
             }
         });
-        Self { address, arrivals }
+        Self {
+            address,
+            arrivals,
+            health_checks,
+        }
     }
 
     fn arrivals(&self) -> u32 {
@@ -59,7 +66,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, arrivals: &AtomicU32) {
+fn serve(mut stream: TcpStream, is_healthy: bool, arrivals: &AtomicU32, health_checks: &AtomicU32) {
     let mut buffer = Vec::new();
     let mut chunk = [0; 4_096];
     loop {
@@ -71,8 +78,19 @@
             continue;
         };
         let head = String::from_utf8(buffer.drain(..end + 4).collect()).unwrap();
-        arrivals.fetch_add(1, Ordering::SeqCst);
         let path = head.split(' ').nth(1).unwrap();
+        if path == "/health" {
+            health_checks.fetch_add(1, Ordering::SeqCst);
+            let status = if is_healthy {
+                "200 OK"
+            } else {
+                "503 Service Unavailable"
+            };
+            let headers = "x-jujubeline-instance-id: i-1\r\nx-jujubeline-server-load: 0,0,4\r\n";
+            let _ = stream.write_all(answer(status, "", headers, "").as_bytes());
+            return;
+        }
+        arrivals.fetch_add(1, Ordering::SeqCst);
         let id = header(&head, "x-jujubeline-attempt-id").unwrap_or_default();
         let answer = match path.rsplit('/').next().unwrap() {
             "cut" => return,
@@ -162,9 +180,14 @@
 
 impl World {
     fn start() -> Self {
+        Self::start_with(false)
+    }
+
+    /// A world whose target answers its health check with this.
+    fn start_with(is_healthy: bool) -> Self {
         let runtime = Runtime::new().unwrap();
         let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
-        let target = Target::start();
+        let target = Target::start(is_healthy);
         let daemon = start(&[
             "--deployment",
             "platform",
@@ -321,6 +344,36 @@
     assert!(get(world.daemon.operators, "/api/ready").contains("503"));
 }
 
+/// Guards against requests that are refused at a node that was started again, although its target runs and only the next
+/// heartbeat is missing, and against work for a target that says that it is leaving.
+#[test]
+fn a_new_node_asks_its_target_once() {
+    for (is_healthy, status) in [(true, "HTTP/1.1 200"), (false, "HTTP/1.1 503")] {
+        let world = World::start_with(is_healthy);
+        world.write_configuration("0000000c");
+        if is_healthy {
+            world.wait_for(
+                "/explain?host=a.example&method=GET&path=/safe/view",
+                "\"node\":\"one\"",
+            );
+        } else {
+            world.wait_for("/api/ready", "200 OK");
+            thread::sleep(Duration::from_millis(500));
+        }
+        let response = world.send(&Method::GET, "/safe/view");
+        assert!(response.starts_with(status), "{response}");
+        assert_eq!(world.target.health_checks.load(Ordering::SeqCst), 1);
+        if is_healthy {
+            assert!(
+                response.contains("x-jujubeline-target-instance: i-1"),
+                "{response}"
+            );
+            assert!(world.beat("i-1", 1, "draining").contains("200 OK"));
+            world.wait_for("/status", "\"target_state\":\"draining\"");
+        }
+    }
+}
+
 /// Guards against work for a target that has begun to leave, and against a delayed heartbeat that takes this back.
 #[test]
 fn a_leaving_target_gets_no_new_work() {
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -140,6 +140,7 @@
         state,
         slots: settings.target_slots,
         connections: settings.target_connections,
+        health_path: None,
     });
     let plane = Plane {
         catalogue,
--- a/crates/node/src/control/configuration_follow.rs
+++ b/crates/node/src/control/configuration_follow.rs
@@ -81,7 +81,7 @@
         if revision <= self.catalogue.view().borrow().revision() {
             return;
         }
-        self.limit_connections(&configuration);
+        self.describe_target(&configuration);
         match self
             .catalogue
             .replace(revision, configuration.entries)
@@ -92,14 +92,17 @@
         }
     }
 
-    fn limit_connections(&self, configuration: &Configuration) {
+    /// Takes over what the configuration says about the local target.
+    fn describe_target(&self, configuration: &Configuration) {
         let mut services = configuration.services.iter();
         let Some(limit) = services.find(|limit| limit.service == self.service) else {
             return;
         };
         self.local_target.send_if_modified(|target| {
-            let changed = target.connections != limit.connections;
+            let changed =
+                target.connections != limit.connections || target.health_path != limit.health_path;
             target.connections = limit.connections;
+            target.health_path.clone_from(&limit.health_path);
             changed
         });
     }
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -401,5 +401,6 @@
         },
         slots: settings.target_slots,
         connections: settings.target_connections,
+        health_path: None,
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -136,6 +136,7 @@
             Arc::clone(&data.entry),
             Arc::clone(&exporter),
         ));
+        data.spawn_until_close(Arc::clone(&operators).find_target());
         for listener in [Some(sockets.operators), sockets.ready]
             .into_iter()
             .flatten()
--- a/crates/node/src/ops/announcement.rs
+++ b/crates/node/src/ops/announcement.rs
@@ -54,6 +54,7 @@
             },
             slots: announcement.slots,
             connections: announcement.connections,
+            health_path: None,
         })
     }
 }
--- a/crates/node/src/ops/mod.rs
+++ b/crates/node/src/ops/mod.rs
@@ -4,6 +4,7 @@
 mod explanation;
 mod operators_server;
 mod status;
+mod target_probe;
 
 pub use {
     announcement::Announcement,
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -1,7 +1,7 @@
 //! Responses at the operators' address.
 
 use {
-    super::{Announcement, Explanation, Status, TargetExplanation},
+    super::{Announcement, Explanation, Status, TargetExplanation, target_probe::probe_target},
     crate::{
         LocalTarget, NodeSettings, Views,
         data::{EntryNode, ResponseBody},
@@ -17,10 +17,11 @@
     parking_lot::Mutex,
     serde::Serialize,
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Longest announcement.
@@ -28,6 +29,10 @@
 /// Time within which the body of an announcement must arrive.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after the start for which the node waits for a heartbeat before it asks the target itself. A target that starts
+/// together with the node announces itself sooner.
+const PROBE_DELAY: Duration = Duration::from_millis(100);
+
 /// Serves operators and the local target.
 #[derive(Debug)]
 pub struct OperatorsServer {
@@ -234,35 +239,65 @@
             service: self.settings.service.clone(),
             address,
         };
-        let announced = {
-            let mut record = self.record.lock();
-            let noted = record.note(&notice, &own);
-            let Noted::Taken { new_process } = noted else {
-                log::info!("announcement is without effect ({noted:?}): {notice:?}");
-                return json(&serde_json::json!({}));
-            };
-            record
-                .process()
-                .map(|process| (process.clone(), new_process))
+        let mut record = self.record.lock();
+        let noted = record.note(&notice, &own);
+        let Noted::Taken { new_process } = noted else {
+            log::info!("announcement is without effect ({noted:?}): {notice:?}");
+            return json(&serde_json::json!({}));
         };
-        if let Some((process, is_new)) = announced {
-            let former = self.views.local_target.borrow().clone();
-            let target = LocalTarget {
-                address: Some(address),
-                process: Some(process.id),
-                state: match process.state {
-                    AnnouncedState::Ready(Duration::ZERO) => TargetState::Ready,
-                    AnnouncedState::Ready(_) => TargetState::Cold,
-                    AnnouncedState::Draining => TargetState::Draining,
-                },
-                slots: process.slots,
-                connections: former.connections,
-            };
-            self.take_over(&former, target, is_new);
-        }
+        self.take_over_process(&record, address, new_process);
         json(&serde_json::json!({}))
     }
 
+    /// Asks the target who it is, once, if no heartbeat tells it soon after the start. A node that was started again
+    /// beside a running target would otherwise refuse requests for it until the next heartbeat.
+    pub async fn find_target(self: Arc<Self>) {
+        let Some(address) = self.settings.target_address else {
+            return;
+        };
+        if self.settings.dialect.answering_process.is_none() {
+            return;
+        }
+        let mut target = self.views.local_target.subscribe();
+        let described = target.wait_for(|target| target.health_path.is_some()).await;
+        let Some(path) = described.ok().and_then(|target| target.health_path.clone()) else {
+            return;
+        };
+        sleep(PROBE_DELAY).await;
+        if self.record.lock().process().is_some() {
+            return;
+        }
+        let Some(answer) = probe_target(address, &path, &self.settings.dialect).await else {
+            return;
+        };
+        let slots = answer.slots.unwrap_or(self.settings.target_slots);
+        let mut record = self.record.lock();
+        if record.note_answer(&answer.process, slots) {
+            self.take_over_process(&record, address, true);
+        }
+    }
+
+    /// Takes over the process that the record names. The caller holds the record, so that a later notice comes later here.
+    fn take_over_process(&self, record: &TargetRecord, address: SocketAddr, is_new: bool) {
+        let Some(process) = record.process() else {
+            return;
+        };
+        let former = self.views.local_target.borrow().clone();
+        let target = LocalTarget {
+            address: Some(address),
+            process: Some(process.id.clone()),
+            state: match process.state {
+                AnnouncedState::Ready(Duration::ZERO) => TargetState::Ready,
+                AnnouncedState::Ready(_) => TargetState::Cold,
+                AnnouncedState::Draining => TargetState::Draining,
+            },
+            slots: process.slots,
+            connections: former.connections,
+            health_path: former.health_path.clone(),
+        };
+        self.take_over(&former, target, is_new);
+    }
+
     fn take_over(&self, former: &LocalTarget, announced: LocalTarget, is_new: bool) {
         self.entry.gate.crashes.announced(is_new);
         if former.state != announced.state || former.address != announced.address {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -27,6 +27,8 @@
     pub slots: u32,
     /// Connections that it accepts.
     pub connections: u32,
+    /// Path of its health check, if the deployment states one.
+    pub health_path: Option<String>,
 }
 
 /// Channels between control plane and data path.
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -186,6 +186,7 @@
         state: TargetState::Ready,
         slots: 8,
         connections: 64,
+        health_path: None,
     });
     let local_target = Arc::new(local_target);
     let views = Views {
