Answer with the whole catalogue where a peer's configuration was skipped

Cause: configurations replace each other and nodes skip some. A node that went from one to the next but one answered a peer at the one between with a difference that cannot name what that one had added or changed, so the peer kept it under the newest revision. Ruled out: the call budget; the node read the configuration in time. A state of configurations remembers which revisions were in effect, answers others with the whole, and takes differences from its own revision only. Three cases in catalogue/tests/routes.rs fail before (one by the merge order).

--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -5,12 +5,18 @@
     derive_more::{Display, Error},
     jujubeline_core::{EntryName, NodeId, Revision},
     serde::{Deserialize, Serialize},
-    std::{collections::HashSet, sync::Arc},
+    std::{
+        collections::{HashSet, VecDeque},
+        sync::Arc,
+    },
 };
 
 /// Names of removed entries, and of reinstated instances, that are remembered so that a difference can name them.
 const MAX_TOMBSTONES: usize = 1_024;
 
+/// Revisions that were in effect and are remembered. A node that is further behind gets the whole state.
+const MAX_HELD: usize = 64;
+
 /// Entries that a node accepts.
 pub const MAX_ENTRIES: usize = 4_096;
 
@@ -28,7 +34,7 @@
         /// Revision in effect.
         in_effect: Revision,
     },
-    /// Changes between the one in effect and the one offered are missing.
+    /// Changes between the one in effect and the one offered are missing, or the offer does not start at it.
     #[display("revision {offered} does not follow revision {in_effect} in effect")]
     Gap {
         /// Revision offered.
@@ -80,6 +86,9 @@
     revision: Revision,
     entries: Versions<Arc<Entry>>,
     retired: Versions<()>,
+    /// Revisions that were in effect here, where configurations replace each other; none where each change follows the
+    /// one before.
+    held: Option<VecDeque<Revision>>,
 }
 
 impl Default for CatalogueState {
@@ -89,6 +98,16 @@
 }
 
 impl CatalogueState {
+    /// The empty state of a node whose catalogue comes from configurations, which replace each other as a whole and may
+    /// be skipped.
+    #[must_use]
+    pub fn of_configurations() -> Self {
+        Self {
+            held: Some(VecDeque::new()),
+            ..Self::default()
+        }
+    }
+
     /// Revision in effect; 0 before the first change.
     #[must_use]
     pub const fn revision(&self) -> Revision {
@@ -208,19 +227,23 @@
                     .set(revision, &entry.name, Arc::new(entry.clone()));
             }
         }
+        next.held.get_or_insert_default();
         next.revision = revision;
+        next.hold_revision();
         *self = next.checked()?;
         Ok(())
     }
 
-    /// What a node at `from` lacks; the whole state when `from` is too old.
+    /// What a node at `from` lacks; the whole state when `from` is too old, or is a configuration that was never in effect
+    /// here: what it added or changed cannot be named.
     #[must_use]
     pub fn changes_since(&self, from: Revision) -> Difference {
         let complete_from = self
             .entries
             .complete_from()
             .max(self.retired.complete_from());
-        if from == 0 || from < complete_from {
+        let is_skipped = self.held.as_ref().is_some_and(|held| !held.contains(&from));
+        if from == 0 || from < complete_from || is_skipped {
             return self.whole();
         }
         Difference {
@@ -244,7 +267,9 @@
     /// When the difference leads to no newer revision, starts after the one in effect, is invalid or is too large.
     pub fn merge(&mut self, difference: &Difference) -> Result<(), StateError> {
         self.check_newer(difference.to)?;
-        if difference.from > self.revision {
+        // A difference over configurations names nothing that came and went in between.
+        let is_skipped = self.held.is_some() && ![0, self.revision].contains(&difference.from);
+        if difference.from > self.revision || is_skipped {
             return Err(StateError::Gap {
                 offered: difference.from,
                 in_effect: self.revision,
@@ -254,12 +279,16 @@
             .check()
             .map_err(|detail| invalid(difference.to, detail))?;
         let mut next = if difference.from == 0 {
-            Self::empty(difference.to)
+            Self {
+                held: self.held.as_ref().map(|_| VecDeque::new()),
+                ..Self::empty(difference.to)
+            }
         } else {
             self.clone()
         };
         next.take(difference);
         next.revision = difference.to;
+        next.hold_revision();
         *self = next.checked()?;
         Ok(())
     }
@@ -269,6 +298,18 @@
             revision: 0,
             entries: Versions::new(complete_from),
             retired: Versions::new(complete_from),
+            held: None,
+        }
+    }
+
+    /// Remembers that the present revision is in effect here.
+    fn hold_revision(&mut self) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        held.push_back(self.revision);
+        if held.len() > MAX_HELD {
+            held.pop_front();
         }
     }
 
--- a/crates/catalogue/tests/routes.rs
+++ b/crates/catalogue/tests/routes.rs
@@ -126,3 +126,71 @@
     assert!(behind.entry("a").is_none(), "the entry was removed at 16");
     assert_eq!(behind.catalogue(), restarted.catalogue());
 }
+
+/// Guards against an entry that a node keeps although it was dropped, because its peer went from a revision before the
+/// entry to one after it and cannot name it in a difference.
+#[test]
+fn a_peer_that_skipped_a_revision_names_no_difference_from_it() {
+    let (a, b) = (
+        entry("a", None, "GET", "/a/"),
+        entry("b", None, "GET", "/b/"),
+    );
+    let mut changed = b.clone();
+    changed.deadline_ms += 1;
+    let mut behind = CatalogueState::default();
+    behind.replace(4, &[b.clone()]).expect("valid");
+    behind.replace(6, &[a, changed]).expect("valid");
+    let mut skipped = CatalogueState::default();
+    skipped.replace(4, &[b.clone()]).expect("valid");
+    skipped.replace(9, &[b]).expect("valid");
+    assert_eq!(
+        skipped.changes_since(4).from,
+        4,
+        "4 was in effect at the peer"
+    );
+    let mut through_peers = CatalogueState::of_configurations();
+    through_peers.merge(&skipped.whole()).expect("valid");
+    for peer in [skipped, through_peers] {
+        let mut behind = behind.clone();
+        behind.merge(&peer.changes_since(6)).expect("valid");
+        assert_eq!(behind.catalogue(), peer.catalogue());
+    }
+}
+
+/// Guards against the same when the difference was asked for before a newer configuration took effect.
+#[test]
+fn a_difference_from_a_former_revision_is_refused() {
+    let (a, b) = (
+        entry("a", None, "GET", "/a/"),
+        entry("b", None, "GET", "/b/"),
+    );
+    let mut peer = CatalogueState::default();
+    peer.replace(6, &[b.clone()]).expect("valid");
+    peer.replace(9, &[b.clone()]).expect("valid");
+    let difference = peer.changes_since(6);
+    let mut behind = CatalogueState::default();
+    behind.replace(6, &[b.clone()]).expect("valid");
+    behind.replace(7, &[a, b]).expect("valid");
+    assert!(behind.merge(&difference).is_err());
+    behind.merge(&peer.changes_since(7)).expect("valid");
+    assert_eq!(behind.catalogue(), peer.catalogue());
+}
+
+/// Guards against the same at a node that has its revisions from peers only.
+#[test]
+fn a_node_that_merged_over_a_revision_names_no_difference_from_it() {
+    let (a, b) = (
+        entry("a", None, "GET", "/a/"),
+        entry("b", None, "GET", "/b/"),
+    );
+    let mut peer = CatalogueState::default();
+    peer.replace(4, &[b.clone()]).expect("valid");
+    let mut merged = CatalogueState::of_configurations();
+    merged.merge(&peer.changes_since(0)).expect("valid");
+    peer.replace(9, &[b.clone()]).expect("valid");
+    merged.merge(&peer.changes_since(4)).expect("valid");
+    let mut behind = CatalogueState::default();
+    behind.replace(6, &[a, b]).expect("valid");
+    behind.merge(&merged.changes_since(6)).expect("valid");
+    assert_eq!(behind.catalogue(), merged.catalogue());
+}
--- a/crates/node/src/control/catalogue_actor.rs
+++ b/crates/node/src/control/catalogue_actor.rs
@@ -101,11 +101,11 @@
 
 impl CatalogueHandle {
     /// Starts the actor with an empty catalogue.
-    pub(super) fn start() -> Self {
-        let (sender, view) = watch::channel(Arc::default());
+    pub(super) fn start(state: CatalogueState) -> Self {
+        let (sender, view) = watch::channel(Arc::new(state.clone()));
         let actor = CatalogueActor::spawn_with_mailbox(
             CatalogueActor {
-                state: CatalogueState::default(),
+                state,
                 view: sender,
             },
             mailbox::bounded(MAILBOX_MESSAGES),
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -12,6 +12,7 @@
         udp::{self, DatagramCounts},
     },
     crate::{CatalogueSource, LocalTarget, NodeSettings, Views},
+    jujubeline_catalogue::CatalogueState,
     jujubeline_coordination::membership::{Config, Member, Membership, Presence, TargetState},
     jujubeline_core::{Incarnation, Peer, Step},
     jujubeline_platform::{PlatformClient, PlatformSettings},
@@ -122,7 +123,10 @@
         let state = Membership::new(Config::default(), own, Instant::now(), &mut rng);
         let (pulls, pulls_wanted) = mpsc::channel(pull::MAX_PULLS);
         let membership = MembershipHandle::start(state, sender, pulls);
-        let catalogue = CatalogueHandle::start();
+        let catalogue = CatalogueHandle::start(match settings.catalogue_source {
+            CatalogueSource::ChangeLog => CatalogueState::default(),
+            CatalogueSource::Configuration => CatalogueState::of_configurations(),
+        });
 
         let mut tasks = Tasks::new();
         let claims = Arc::new(OnceLock::new());
