--- a/crates/catalogue/tests/routes.rs
+++ b/crates/catalogue/tests/routes.rs
@@ -138,10 +138,10 @@
     let mut changed = b.clone();
     changed.deadline_ms += 1;
     let mut behind = CatalogueState::default();
-    behind.replace(4, &[b.clone()]).expect("valid");
+    behind.replace(4, std::slice::from_ref(&b)).expect("valid");
     behind.replace(6, &[a, changed]).expect("valid");
     let mut skipped = CatalogueState::default();
-    skipped.replace(4, &[b.clone()]).expect("valid");
+    skipped.replace(4, std::slice::from_ref(&b)).expect("valid");
     skipped.replace(9, &[b]).expect("valid");
     assert_eq!(
         skipped.changes_since(4).from,
@@ -165,11 +165,11 @@
         entry("b", None, "GET", "/b/"),
     );
     let mut peer = CatalogueState::default();
-    peer.replace(6, &[b.clone()]).expect("valid");
-    peer.replace(9, &[b.clone()]).expect("valid");
+    peer.replace(6, std::slice::from_ref(&b)).expect("valid");
+    peer.replace(9, std::slice::from_ref(&b)).expect("valid");
     let difference = peer.changes_since(6);
     let mut behind = CatalogueState::default();
-    behind.replace(6, &[b.clone()]).expect("valid");
+    behind.replace(6, std::slice::from_ref(&b)).expect("valid");
     behind.replace(7, &[a, b]).expect("valid");
     assert!(behind.merge(&difference).is_err());
     behind.merge(&peer.changes_since(7)).expect("valid");
@@ -184,10 +184,10 @@
         entry("b", None, "GET", "/b/"),
     );
     let mut peer = CatalogueState::default();
-    peer.replace(4, &[b.clone()]).expect("valid");
+    peer.replace(4, std::slice::from_ref(&b)).expect("valid");
     let mut merged = CatalogueState::of_configurations();
     merged.merge(&peer.changes_since(0)).expect("valid");
-    peer.replace(9, &[b.clone()]).expect("valid");
+    peer.replace(9, std::slice::from_ref(&b)).expect("valid");
     merged.merge(&peer.changes_since(4)).expect("valid");
     let mut behind = CatalogueState::default();
     behind.replace(6, &[a, b]).expect("valid");
