Keep a run whose second sending is shed

Cause: an idempotent request without a byte for a second is sent again over a fresh connection. A target that was busy shed the second sending, and the node took that response, closed the connection on which the first was still running and answered 503 not_run, which was untrue, or 502. Ruled out: the stop of the entry node; the server's run ended 1 ms before its client got the answer, so the gate cut it. Only a response that neither fails nor sheds replaces the first connection. The test gets 503 before and 200 from the first run now.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -29,6 +29,8 @@
 const SLOW: Duration = Duration::from_secs(12);
 /// Time that a request takes which ends within the last second before the kill.
 const NEARLY_SLOW: Duration = Duration::from_millis(5_300);
+/// Time after which a silent connection is long taken for stalled.
+const STALLED: Duration = Duration::from_millis(2_500);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -113,7 +115,11 @@
                 "x-jujubeline-response-seal: s\r\n",
                 "foreign",
             ),
-            "shed" => answer(
+            "slow-then-shed" if arrivals.load(Ordering::SeqCst) == 1 => {
+                thread::sleep(STALLED);
+                answer("200 OK", &id, "x-jujubeline-response-seal: s\r\n", "first")
+            }
+            "shed" | "slow-then-shed" => answer(
                 "503 Service Unavailable",
                 &id,
                 "x-jujubeline-not-executed: 1\r\n",
@@ -374,6 +380,21 @@
     }
 }
 
+/// Guards against a run that is cut because the same request, sent again over a fresh connection, was shed there: the
+/// target is busy, not silent.
+#[test]
+fn a_shed_second_sending_ends_no_run() {
+    let world = World::ready();
+    let response = exchange(
+        world.daemon.callers,
+        "GET /slow/slow-then-shed HTTP/1.1\r\nHost: a.example\r\nX-Jujubeline-Attempt-Id: 9c43\r\n\
+         X-Jujubeline-Deadline-Ms: 15000\r\nConnection: close\r\n\r\n",
+    );
+    assert_eq!(world.target.arrivals(), 2, "it was sent again");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.ends_with("first"), "{response}");
+}
+
 /// Guards against work for a target that has begun to leave, and against a delayed heartbeat that takes this back.
 #[test]
 fn a_leaving_target_gets_no_new_work() {
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -120,7 +120,7 @@
     }
 
     /// The connection is silent. After the stall bound the request is sent again over a fresh connection; if that one
-    /// responds first, the silent one is closed. This counts as a retry.
+    /// responds first and does not fail, the silent one is closed. This counts as a retry.
     async fn wait_silent(
         &mut self,
         mut sending: Pin<&mut impl Future<Output = Sent>>,
@@ -157,7 +157,13 @@
         tokio::select! {
             sent = sending.as_mut() => Ok(sent),
             second = second => {
-                if second.is_err() {
+                // A target that sheds or fails the second sending is busy, not silent: the first may still complete.
+                let is_answer = |response: &Response<Incoming>| {
+                    let status = response.status();
+                    let is_shed = (self.gate.dialect.is_shed)(status, response.headers());
+                    !status.is_server_error() && !is_shed
+                };
+                if !second.as_ref().is_ok_and(is_answer) {
                     return self.wait_until_deadline(sending).await;
                 }
                 // Dropping the former lease closes the silent connection.
