Keep the target draining while its node stops

Cause: a heartbeat during the stop took back the draining that the node had announced for its target, so other nodes sent it work through the leaving node until it ended, and that work was cut with 502. Processes that were still there at the end of the grace time fit it. The test fails before.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -380,6 +380,21 @@
     }
 }
 
+/// Guards against a heartbeat during a stop that makes the target ready again: other nodes would send it work until the
+/// node ends, and that work would be cut.
+#[test]
+fn a_heartbeat_takes_back_no_stop() {
+    let mut world = World::ready();
+    terminate(&world.daemon.child);
+    world.wait_for("/status", "\"target_state\":\"draining\"");
+    assert!(world.beat("i-1", 2, "ready").contains("200 OK"));
+    assert!(get(world.daemon.operators, "/status").contains("\"target_state\":\"draining\""));
+    let response = world.send(&Method::GET, "/safe/view");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(world.target.arrivals(), 0);
+    assert_eq!(world.daemon.child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards against a run that is cut because the same request, sent again over a fresh connection, was shed there: the
 /// target is busy, not silent.
 #[test]
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -298,8 +298,17 @@
         self.take_over(&former, target, is_new);
     }
 
-    fn take_over(&self, former: &LocalTarget, announced: LocalTarget, is_new: bool) {
+    fn take_over(&self, former: &LocalTarget, mut announced: LocalTarget, is_new: bool) {
         self.entry.gate.crashes.announced(is_new);
+        self.views.local_target.send_if_modified(|target| {
+            // The target runs on while its node stops; other nodes must not send it work through this one.
+            if self.entry.leaving.is_cancelled() {
+                announced.state = TargetState::Draining;
+            }
+            let changed = *target != announced;
+            target.clone_from(&announced);
+            changed
+        });
         if former.state != announced.state || former.address != announced.address {
             let place = announced.address.map(|address| format!(" at {address}"));
             log::info!(
@@ -309,11 +318,6 @@
                 place.unwrap_or_default()
             );
         }
-        self.views.local_target.send_if_modified(|target| {
-            let changed = *target != announced;
-            *target = announced;
-            changed
-        });
     }
 }
 
