Answer by both sendings of a request; one constructor for settings on loopback

Cause: when a request was sent again over a fresh connection and the first sending was shed while the second ran, the node dropped the second and answered 503 not_run, which was untrue. Two of the four cases of sent_again_over_a_fresh_connection fail before. NodeSettings::on_loopback and LocalTarget::initial replace five literals of the same values, ROOT_SLOTS two copies of the number of slots. Failures tests name why a call got no reply.

--- a/crates/core/src/key_hash.rs
+++ b/crates/core/src/key_hash.rs
@@ -3,7 +3,7 @@
 use {crate::RootId, xxhash_rust::xxh3::xxh3_64};
 
 /// Number of slots that [`root_slot`] spreads root requests over.
-const ROOT_SLOTS: u64 = 128;
+pub const ROOT_SLOTS: u16 = 128;
 
 /// Hash of some bytes, the same on every node and in every version.
 #[must_use]
@@ -25,5 +25,5 @@
 #[must_use]
 pub fn root_slot(root: RootId) -> u8 {
     // The remainder is below 128, so it fits.
-    (xxh3_64(&root.to_be_bytes()) % ROOT_SLOTS) as u8
+    (xxh3_64(&root.to_be_bytes()) % u64::from(ROOT_SLOTS)) as u8
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,7 @@
         Attempt, DataCentre, EntryName, Epoch, Fingerprint, HopId, Incarnation, NodeId, ProcessId,
         Region, Revision, RootId, ServiceName, ShardId,
     },
-    key_hash::{rendezvous_weight, root_slot, stable_hash},
+    key_hash::{ROOT_SLOTS, rendezvous_weight, root_slot, stable_hash},
     notice::{AnnouncedState, Heartbeat, TargetNotice},
     outcome::{NotRunProof, Outcome, Refusal},
     reason::{RefusalReason, RetryReason, RetryStop},
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -83,28 +83,16 @@
             let is_first = index == 0;
             let control_address = free_port()?;
             let settings = NodeSettings {
-                node: name.into(),
                 region: REGION.into(),
-                data_centre: data_centre.into(),
-                service: service.into(),
-                target_address: None,
                 target_connections: CONNECTIONS,
                 target_slots: SLOTS,
                 callers_address: if is_first { callers } else { free() },
-                data_address: free(),
                 control_address,
-                advertised_data_address: None,
-                advertised_control_address: None,
                 operators_address: if is_first { operators } else { free() },
                 platform_address: Some(platform.address()),
                 seeds: seeds.clone(),
-                ready_address: None,
-                dialect: std::sync::Arc::default(),
-                catalogue_source: jujubeline_node::CatalogueSource::default(),
-                decision_lines_per_s: 0,
-                retry_limits: None,
-                leave_notice: Duration::ZERO,
                 stop_grace: STOP_GRACE,
+                ..NodeSettings::on_loopback(name, data_centre, service)
             };
             seeds.push(control_address);
             let node = Node::start(settings)
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -115,16 +115,8 @@
                 "x-jujubeline-response-seal: s\r\n",
                 "foreign",
             ),
-            "slow-then-shed" if arrivals.load(Ordering::SeqCst) == 1 => {
-                thread::sleep(STALLED);
-                answer("200 OK", &id, "x-jujubeline-response-seal: s\r\n", "first")
-            }
-            "shed" | "slow-then-shed" => answer(
-                "503 Service Unavailable",
-                &id,
-                "x-jujubeline-not-executed: 1\r\n",
-                "",
-            ),
+            "shed" => shed(&id),
+            both if both.starts_with("twice-") => answer_twice(both, &id, arrivals),
             "failed" => answer(
                 "500 Internal Server Error",
                 &id,
@@ -139,6 +131,36 @@
     }
 }
 
+fn shed(id: &str) -> String {
+    answer(
+        "503 Service Unavailable",
+        id,
+        "x-jujubeline-not-executed: 1\r\n",
+        "",
+    )
+}
+
+/// Answers the first and the second arrival of a request as its path says: `twice-FIRST-SECOND`. The first is silent until
+/// it is taken for stalled. A target that sheds the second does so at once.
+fn answer_twice(path: &str, id: &str, arrivals: &AtomicU32) -> String {
+    let mut ends = path.split('-').skip(1);
+    let (first, second) = (ends.next().unwrap(), ends.next().unwrap());
+    let (end, body) = if arrivals.load(Ordering::SeqCst) == 1 {
+        (first, "first")
+    } else {
+        (second, "second")
+    };
+    if body == "first" || end != "shed" {
+        thread::sleep(STALLED);
+    }
+    let seal = "x-jujubeline-response-seal: s\r\n";
+    match end {
+        "shed" => shed(id),
+        "fail" => answer("500 Internal Server Error", id, seal, body),
+        _ => answer("200 OK", id, seal, body),
+    }
+}
+
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
     bytes
         .windows(wanted.len())
@@ -395,19 +417,26 @@
     assert_eq!(world.daemon.child.wait().unwrap().code(), Some(0));
 }
 
-/// Guards against a run that is cut because the same request, sent again over a fresh connection, was shed there: the
-/// target is busy, not silent.
-#[test]
-fn a_shed_second_sending_ends_no_run() {
-    let world = World::ready();
-    let response = exchange(
-        world.daemon.callers,
-        "GET /slow/slow-then-shed HTTP/1.1\r\nHost: a.example\r\nX-Jujubeline-Attempt-Id: 9c43\r\n\
-         X-Jujubeline-Deadline-Ms: 15000\r\nConnection: close\r\n\r\n",
-    );
-    assert_eq!(world.target.arrivals(), 2, "it was sent again");
-    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-    assert!(response.ends_with("first"), "{response}");
+cases! {
+    /// Guards against a run that is cut, or refused as not run, because the other sending of the same request was shed: a
+    /// target that sheds is busy, not silent, and has said nothing about the other sending.
+    fn sent_again_over_a_fresh_connection(path: &str, status: &str, body: &str) {
+        let world = World::ready();
+        let response = exchange(
+            world.daemon.callers,
+            &format!(
+                "GET /slow/{path} HTTP/1.1\r\nHost: a.example\r\nX-Jujubeline-Attempt-Id: 9c43\r\n\
+                 X-Jujubeline-Deadline-Ms: 15000\r\nConnection: close\r\n\r\n"
+            ),
+        );
+        assert_eq!(world.target.arrivals(), 2, "it was sent again");
+        assert!(response.starts_with(status), "{response}");
+        assert!(response.ends_with(body), "{response}");
+    }
+    second_is_shed: ("twice-ok-shed", "HTTP/1.1 200", "first"),
+    first_is_shed_while_the_second_runs: ("twice-shed-ok", "HTTP/1.1 200", "second"),
+    first_is_shed_and_the_second_fails: ("twice-shed-fail", "HTTP/1.1 500", "second"),
+    both_are_shed: ("twice-shed-shed", "HTTP/1.1 503", "}"),
 }
 
 /// Guards against work for a target that has begun to leave, and against a delayed heartbeat that takes this back.
--- a/crates/lab/tests/failures/support.rs
+++ b/crates/lab/tests/failures/support.rs
@@ -235,13 +235,16 @@
     told(send(address, &Call::get(path)).await.as_ref())
 }
 
-fn told(reply: Option<&Reply>) -> Told {
-    let Some(reply) = reply else {
-        return Told {
-            status: 0,
-            outcome: None,
-            reason: None,
-        };
+fn told(reply: Result<&Reply, &String>) -> Told {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(why) => {
+            return Told {
+                status: 0,
+                outcome: None,
+                reason: Some(why.clone()),
+            };
+        }
     };
     let problem: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
     Told {
@@ -251,10 +254,13 @@
     }
 }
 
-async fn send(address: SocketAddr, call: &Call) -> Option<Reply> {
+async fn send(address: SocketAddr, call: &Call) -> Result<Reply, String> {
     let exchange = async { Connection::open(address).await?.call(call).await };
-    let reply = tokio::time::timeout(REPLY_TIMEOUT, exchange).await.ok()?;
-    reply.ok()
+    match tokio::time::timeout(REPLY_TIMEOUT, exchange).await {
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(error)) => Err(format!("no reply: {error:?}")),
+        Err(_) => Err(format!("no reply within {REPLY_TIMEOUT:?}")),
+    }
 }
 
 /// Sends a JSON value by PUT, which must succeed.
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -95,53 +95,24 @@
     let [node, service, target, slots] = arguments.as_slice() else {
         return Err("arguments: NODE SERVICE TARGET SLOTS".into());
     };
-    let free: SocketAddr = "127.0.0.1:0".parse()?;
     Ok(NodeSettings {
-        node: node.as_str().into(),
-        region: "region1".into(),
-        data_centre: "dc1".into(),
-        service: service.as_str().into(),
         target_address: match target.as_str() {
             "-" => None,
             address => Some(address.parse()?),
         },
         target_connections: 256,
         target_slots: slots.parse()?,
-        callers_address: free,
-        data_address: free,
-        control_address: free,
-        advertised_data_address: None,
-        advertised_control_address: None,
-        operators_address: free,
-        platform_address: None,
-        seeds: Vec::new(),
-        ready_address: None,
-        dialect: std::sync::Arc::default(),
-        catalogue_source: jujubeline_node::CatalogueSource::default(),
-        decision_lines_per_s: 0,
-        retry_limits: None,
-        leave_notice: Duration::ZERO,
         stop_grace: Duration::from_secs(30),
+        ..NodeSettings::on_loopback(node, "dc1", service)
     })
 }
 
 #[tokio::main]
 async fn main() -> Result<(), Failure> {
     let settings = settings()?;
-    let state = match settings.target_address {
-        Some(_) => TargetState::Ready,
-        None => TargetState::Gone,
-    };
     let (catalogue, catalogue_view) = watch::channel(Arc::default());
     let (members, member_view) = watch::channel(Arc::default());
-    let (local_target, _) = watch::channel(LocalTarget {
-        address: settings.target_address,
-        process: None,
-        state,
-        slots: settings.target_slots,
-        connections: settings.target_connections,
-        health_path: None,
-    });
+    let (local_target, _) = watch::channel(LocalTarget::initial(&settings));
     let plane = Plane {
         catalogue,
         members,
--- a/crates/node/src/control/join.rs
+++ b/crates/node/src/control/join.rs
@@ -51,6 +51,15 @@
     tries_left: u32,
 }
 
+impl Contact {
+    const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            tries_left: CONTACT_TRIES,
+        }
+    }
+}
+
 /// Joins through seeds and through contacts from the platform, then exchanges tables until the task is cancelled.
 pub(super) async fn run(
     seeds: Vec<SocketAddr>,
@@ -77,18 +86,12 @@
         };
         let received = timeout(period, contacts.recv()).await;
         if let Ok(Some(address)) = received {
-            unreached.push(Contact {
-                address,
-                tries_left: CONTACT_TRIES,
-            });
+            unreached.push(Contact::new(address));
             // Contacts that arrived together are asked together.
             while unreached.len() < MAX_CONTACTS
                 && let Ok(address) = contacts.try_recv()
             {
-                unreached.push(Contact {
-                    address,
-                    tries_left: CONTACT_TRIES,
-                });
+                unreached.push(Contact::new(address));
             }
             continue;
         }
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -13,7 +13,7 @@
     },
     crate::{CatalogueSource, LocalTarget, NodeSettings, Views},
     jujubeline_catalogue::CatalogueState,
-    jujubeline_coordination::membership::{Config, Member, Membership, Presence, TargetState},
+    jujubeline_coordination::membership::{Config, Member, Membership, Presence},
     jujubeline_core::{Incarnation, Peer, Step},
     jujubeline_platform::{PlatformClient, PlatformSettings},
     rand::{SeedableRng, rngs::StdRng},
@@ -137,7 +137,7 @@
         };
         let (rpc, peers) = rpc::start(listener, services, tasks.stopping.clone())?;
 
-        let (local_target, target_changes) = watch::channel(initial_target(settings));
+        let (local_target, target_changes) = watch::channel(LocalTarget::initial(settings));
         let local_target = Arc::new(local_target);
         let (contacts, contacts_found) = mpsc::channel(join::MAX_CONTACTS);
         tasks.spawn(udp::receive(
@@ -372,7 +372,7 @@
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
         service: settings.service.clone(),
-        target_state: initial_target(settings).state,
+        target_state: LocalTarget::initial(settings).state,
         slots: settings.target_slots,
         catalogue_revision: 0,
         presence: Presence::Alive,
@@ -392,19 +392,3 @@
             )
         })
 }
-
-/// A target whose address is in the settings is taken as ready until it announces another state. Without an address, or
-/// where targets are told apart by process, there is no target before its announcement.
-fn initial_target(settings: &NodeSettings) -> LocalTarget {
-    LocalTarget {
-        address: settings.target_address,
-        process: None,
-        state: match settings.target_address {
-            Some(_) if settings.dialect.target_process.is_none() => TargetState::Ready,
-            Some(_) | None => TargetState::Gone,
-        },
-        slots: settings.target_slots,
-        connections: settings.target_connections,
-        health_path: None,
-    }
-}
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -153,25 +153,46 @@
         };
         self.gate.metrics.retried(RetryReason::ConnectionStalled);
         tell_deadline(self.gate, self.deadline, &mut again);
-        let second = fresh.sender().try_send_request(again);
-        tokio::select! {
-            sent = sending.as_mut() => Ok(sent),
-            second = second => {
-                // A target that sheds or fails the second sending is busy, not silent: the first may still complete.
-                let is_answer = |response: &Response<Incoming>| {
-                    let status = response.status();
-                    let is_shed = (self.gate.dialect.is_shed)(status, response.headers());
-                    !status.is_server_error() && !is_shed
-                };
-                if !second.as_ref().is_ok_and(is_answer) {
-                    return self.wait_until_deadline(sending).await;
+        let mut second = pin!(fresh.sender().try_send_request(again));
+        let (first, second) = tokio::select! {
+            first = sending.as_mut() => {
+                if self.completes(&first) {
+                    return Ok(first);
+                }
+                (first, self.wait_until_deadline(second).await?)
+            }
+            second = second.as_mut() => {
+                if self.completes(&second) {
+                    // Dropping the former lease closes the silent connection.
+                    *self.lease = Some(fresh);
+                    return Ok(second);
                 }
-                // Dropping the former lease closes the silent connection.
-                *self.lease = Some(fresh);
-                Ok(second)
+                // A target that sheds or fails the second sending is busy, not silent: the first may still complete.
+                (self.wait_until_deadline(sending).await?, second)
+            }
+            () = sleep_until(self.deadline.into()) => {
+                return Err(Refusal::unknown(RefusalReason::Deadline));
             }
-            () = sleep_until(self.deadline.into()) => Err(Refusal::unknown(RefusalReason::Deadline)),
+        };
+        // The request has not run only if neither sending has: a shed one says nothing about the other.
+        if self.completes(&second) || (self.is_shed(&first) && !self.is_shed(&second)) {
+            *self.lease = Some(fresh);
+            return Ok(second);
         }
+        Ok(first)
+    }
+
+    /// Whether the target completed the request: it neither failed nor shed it.
+    fn completes(&self, sent: &Sent) -> bool {
+        let is_failure = |response: &Response<Incoming>| response.status().is_server_error();
+        sent.as_ref().is_ok_and(|response| !is_failure(response)) && !self.is_shed(sent)
+    }
+
+    /// Whether the target stated that it did not run the request.
+    fn is_shed(&self, sent: &Sent) -> bool {
+        let is_shed = self.gate.dialect.is_shed;
+        sent.as_ref()
+            .is_ok_and(|response| is_shed(response.status(), response.headers()))
     }
 }
 
--- a/crates/node/src/decisions/decision_log.rs
+++ b/crates/node/src/decisions/decision_log.rs
@@ -16,7 +16,7 @@
 /// Lines that wait for the writer. Beyond them lines are dropped and counted.
 const MAX_WAITING_LINES: usize = 1_024;
 
-/// Writes decisions to standard output from a thread of its own, so that a reader that stalls delays no request.
+/// Writes decisions and changes of state to standard output from a thread of its own, so that a reader that stalls delays no request.
 #[derive(Debug)]
 pub struct DecisionLog {
     state: Mutex<State>,
--- a/crates/node/src/decisions/mod.rs
+++ b/crates/node/src/decisions/mod.rs
@@ -1,4 +1,4 @@
-//! Structured log of decisions: one JSON line each, bounded, and never blocking the data path.
+//! Structured log of decisions and changes of state: one JSON line each, bounded, and never blocking the data path.
 
 mod decision;
 mod decision_log;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,11 @@
 use {
     jujubeline_core::{DataCentre, Dialect, NodeId, Region, ServiceName},
     jujubeline_overload::FleetRetryLimits,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Where the catalogue of a node comes from.
@@ -64,3 +68,36 @@
     /// Longest time that a planned stop takes, the notice included, before requests in flight are cut off.
     pub stop_grace: Duration,
 }
+
+impl NodeSettings {
+    /// Settings of a node on loopback that speaks the project's own protocol, with ports that the system chooses and
+    /// without target, platform and seeds. For demonstrations and tests, which replace what they need.
+    #[must_use]
+    pub fn on_loopback(node: &str, data_centre: &str, service: &str) -> Self {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            node: node.into(),
+            region: "region1".into(),
+            data_centre: data_centre.into(),
+            service: service.into(),
+            target_address: None,
+            target_connections: 64,
+            target_slots: 8,
+            callers_address: free,
+            data_address: free,
+            control_address: free,
+            advertised_data_address: None,
+            advertised_control_address: None,
+            operators_address: free,
+            platform_address: None,
+            seeds: Vec::new(),
+            ready_address: None,
+            dialect: Arc::default(),
+            catalogue_source: CatalogueSource::default(),
+            decision_lines_per_s: 0,
+            retry_limits: None,
+            leave_notice: Duration::ZERO,
+            stop_grace: Duration::from_secs(5),
+        }
+    }
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,7 @@
 //! What the control plane shows to the data path, and the other way round.
 
 use {
+    crate::NodeSettings,
     jujubeline_catalogue::CatalogueState,
     jujubeline_coordination::membership::{Member, TargetState},
     jujubeline_core::ProcessId,
@@ -31,6 +32,25 @@
     pub health_path: Option<String>,
 }
 
+impl LocalTarget {
+    /// A target whose address is in the settings is taken as ready until it announces another state. Without an address,
+    /// or where targets are told apart by process, there is no target before its announcement.
+    #[must_use]
+    pub fn initial(settings: &NodeSettings) -> Self {
+        Self {
+            address: settings.target_address,
+            process: None,
+            state: match settings.target_address {
+                Some(_) if settings.dialect.target_process.is_none() => TargetState::Ready,
+                Some(_) | None => TargetState::Gone,
+            },
+            slots: settings.target_slots,
+            connections: settings.target_connections,
+            health_path: None,
+        }
+    }
+}
+
 /// Channels between control plane and data path.
 #[derive(Debug, Clone)]
 pub struct Views {
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -150,44 +150,18 @@
     platform: SocketAddr,
 ) -> Instance {
     let target = target(8).await;
-    let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
     // Only a name here: calls between the claims stay in this process.
     let control_address = SocketAddr::from(([127, 0, 0, 1], number));
     let settings = NodeSettings {
-        node: name.into(),
-        region: "region1".into(),
-        data_centre: "dc1".into(),
-        service: service.into(),
         target_address: Some(target.address()),
-        target_connections: 64,
-        target_slots: 8,
-        callers_address: free,
-        data_address: free,
         control_address,
-        advertised_data_address: None,
-        advertised_control_address: None,
-        operators_address: free,
         platform_address: Some(platform),
-        seeds: Vec::new(),
-        ready_address: None,
-        dialect: std::sync::Arc::default(),
-        catalogue_source: jujubeline_node::CatalogueSource::default(),
-        decision_lines_per_s: 0,
-        retry_limits: None,
-        leave_notice: Duration::ZERO,
-        stop_grace: Duration::from_secs(5),
+        ..NodeSettings::on_loopback(name, "dc1", service)
     };
     let sockets = Sockets::bind(&settings).await.unwrap();
     let (catalogue, catalogue_view) = watch::channel(Arc::new(catalogue()));
     let (members, member_view) = watch::channel(Arc::default());
-    let (local_target, _) = watch::channel(LocalTarget {
-        address: Some(target.address()),
-        process: None,
-        state: TargetState::Ready,
-        slots: 8,
-        connections: 64,
-        health_path: None,
-    });
+    let (local_target, _) = watch::channel(LocalTarget::initial(&settings));
     let local_target = Arc::new(local_target);
     let views = Views {
         catalogue: catalogue_view,
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -28,30 +28,11 @@
 const LEAVE_BOUND: Duration = Duration::from_secs(3);
 
 fn settings(node: &str, data_centre: &str, seeds: Vec<SocketAddr>) -> NodeSettings {
-    let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
     NodeSettings {
-        node: node.into(),
-        region: "jm-south".into(),
-        data_centre: data_centre.into(),
-        service: "schedules".into(),
         target_address: Some((Ipv4Addr::LOCALHOST, 1).into()),
-        target_connections: 560,
-        target_slots: 80,
-        callers_address: any,
-        data_address: any,
-        control_address: any,
-        advertised_data_address: None,
-        advertised_control_address: None,
-        operators_address: any,
-        platform_address: None,
         seeds,
-        ready_address: None,
-        dialect: std::sync::Arc::default(),
-        catalogue_source: jujubeline_node::CatalogueSource::default(),
-        decision_lines_per_s: 0,
-        retry_limits: None,
-        leave_notice: Duration::ZERO,
         stop_grace: Duration::from_secs(1),
+        ..NodeSettings::on_loopback(node, data_centre, "schedules")
     }
 }
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -6,7 +6,7 @@
     jujubeline_core::Class,
     jujubeline_node::{NodeSettings, control::Control},
     std::{
-        net::{Ipv4Addr, SocketAddr},
+        net::Ipv4Addr,
         time::{Duration, SystemTime},
     },
     tokio::time::timeout,
@@ -15,30 +15,9 @@
 const WAIT: Duration = Duration::from_secs(5);
 
 fn settings(node: &str) -> NodeSettings {
-    let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
     NodeSettings {
-        node: node.into(),
-        region: "jm-south".into(),
-        data_centre: "kingston-1".into(),
-        service: "schedules".into(),
-        target_address: None,
-        target_connections: 560,
-        target_slots: 80,
-        callers_address: any,
-        data_address: any,
-        control_address: any,
-        advertised_data_address: None,
-        advertised_control_address: None,
-        operators_address: any,
-        platform_address: None,
-        seeds: Vec::new(),
-        ready_address: None,
-        dialect: std::sync::Arc::default(),
-        catalogue_source: jujubeline_node::CatalogueSource::default(),
-        decision_lines_per_s: 0,
-        retry_limits: None,
-        leave_notice: Duration::ZERO,
         stop_grace: Duration::from_secs(1),
+        ..NodeSettings::on_loopback(node, "kingston-1", "schedules")
     }
 }
 
--- a/crates/overload/src/admission/level.rs
+++ b/crates/overload/src/admission/level.rs
@@ -2,16 +2,13 @@
 
 use {
     derive_more::Display,
-    jujubeline_core::{Class, RootId, root_slot},
+    jujubeline_core::{Class, ROOT_SLOTS, RootId, root_slot},
 };
 
-/// Slots of root requests within a class.
-const SLOTS: u16 = 128;
-
 /// Slots of each class that are admitted unless critical requests are refused as well. Calls of exchanges in flight go
 /// first and can take a whole target; without a share of its own a class that is asked for directly was served 0.06 of
 /// its requests there.
-const MIN_SLOTS: u16 = SLOTS / 8;
+const MIN_SLOTS: u16 = ROOT_SLOTS / 8;
 
 /// Number of admitted keys, where the key of a request is its class rank times 128 plus the slot of its root request.
 ///
@@ -27,7 +24,7 @@
     /// Admits everything.
     pub const OPEN: Self = Self(512);
     /// Admits the critical class only.
-    pub const CRITICAL_ONLY: Self = Self(SLOTS);
+    pub const CRITICAL_ONLY: Self = Self(ROOT_SLOTS);
     /// Admits one slot of the critical class.
     pub const LOWEST: Self = Self(1);
 
@@ -52,7 +49,7 @@
     /// Key of a request.
     #[must_use]
     pub fn key(class: Class, root: RootId) -> u16 {
-        const FIRST_KEYS: [u16; 4] = [0, SLOTS, 2 * SLOTS, 3 * SLOTS];
+        const FIRST_KEYS: [u16; 4] = [0, ROOT_SLOTS, 2 * ROOT_SLOTS, 3 * ROOT_SLOTS];
         FIRST_KEYS[class.rank()] + u16::from(root_slot(root))
     }
 
@@ -60,9 +57,9 @@
     /// requests is admitted, so that a request is refused in front whose calls would be refused.
     #[must_use]
     pub fn translated(self, from: Class, to: Class) -> Self {
-        let first_key = |class: Class| Self::key(class, 0) / SLOTS * SLOTS;
-        let slots = self.0.saturating_sub(first_key(from)).min(SLOTS);
-        if slots == SLOTS {
+        let first_key = |class: Class| Self::key(class, 0) / ROOT_SLOTS * ROOT_SLOTS;
+        let slots = self.0.saturating_sub(first_key(from)).min(ROOT_SLOTS);
+        if slots == ROOT_SLOTS {
             return Self::OPEN;
         }
         Self::new(first_key(to) + slots)
--- a/crates/overload/src/retry/return_after.rs
+++ b/crates/overload/src/retry/return_after.rs
@@ -1,7 +1,7 @@
 //! When a refused caller should come back.
 
 use {
-    jujubeline_core::{RootId, root_slot},
+    jujubeline_core::{ROOT_SLOTS, RootId, root_slot},
     std::time::Duration,
 };
 
@@ -11,8 +11,6 @@
 const LONGEST: Duration = Duration::from_millis(1_200);
 /// Part of the remaining time that a suggestion may take. Callers ignore one that leaves them too little.
 const REMAINING_PART: u32 = 4;
-/// Slots of root requests.
-const SLOTS: u32 = 128;
 
 /// Suggests a time to a caller that was refused in a surge.
 ///
@@ -24,5 +22,5 @@
     let Some(range) = longest.checked_sub(SHORTEST) else {
         return longest;
     };
-    SHORTEST + range * u32::from(root_slot(root)) / SLOTS
+    SHORTEST + range * u32::from(root_slot(root)) / u32::from(ROOT_SLOTS)
 }
