Pass work on to the target for the first part of a stop

Cause: a node that stops withheld its target at once, though the target runs on and callers need 2.5 s to notice the stop. The node withholds its target after 0.6 of the notice. Work that is accepted by then is at least 4.2 s away from the end of the stop. The test gets 503 before.

--- a/crates/core/src/key_hash.rs
+++ b/crates/core/src/key_hash.rs
@@ -23,7 +23,10 @@
 
 /// Slot in 0..=127 of a root request, so that every hop decides alike about it.
 #[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the remainder is below 128"
+)]
 pub fn root_slot(root: RootId) -> u8 {
-    // The remainder is below 128, so it fits.
     (xxh3_64(&root.to_be_bytes()) % u64::from(ROOT_SLOTS)) as u8
 }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -402,6 +402,19 @@
     }
 }
 
+/// Guards against a service without a target while the nodes beside all its targets stop in turn: each target runs on, and
+/// its node passes work on for most of the time in which callers learn that it is not ready.
+#[test]
+fn a_node_that_leaves_still_passes_work_on() {
+    let mut world = World::ready();
+    terminate(&world.daemon.child);
+    world.wait_for("/api/ready", "503");
+    thread::sleep(Duration::from_millis(500));
+    let response = world.send(&Method::GET, "/safe/view");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(world.daemon.child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards against a heartbeat during a stop that makes the target ready again: other nodes would send it work until the
 /// node ends, and that work would be cut.
 #[test]
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -110,6 +110,7 @@
             metrics,
             exchanges: exchanges.clone(),
             leaving: signals.leaving.clone(),
+            withhold: signals.withhold.clone(),
             drain: signals.drain.clone(),
         });
         let path = Self {
@@ -190,6 +191,11 @@
         self.signals.leaving.cancel();
     }
 
+    /// Keeps new work away from the target, whatever it announces from now on.
+    pub fn withhold_target(&self) {
+        self.signals.withhold.cancel();
+    }
+
     /// Refuses new exchanges and waits for those in flight. Returns whether all of them ended within the grace time.
     pub async fn drain(&self, grace: Duration) -> bool {
         self.signals.drain.cancel();
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -74,6 +74,8 @@
     pub exchanges: TaskTracker,
     /// Cancelled when the node is not ready any more.
     pub leaving: CancellationToken,
+    /// Cancelled when the target gets no new work through this node.
+    pub withhold: CancellationToken,
     /// Cancelled when the node refuses new exchanges.
     pub drain: CancellationToken,
 }
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -71,6 +71,8 @@
 pub struct StopSignals {
     /// The node is not ready any more, and still serves.
     pub leaving: CancellationToken,
+    /// The target gets no new work through this node.
+    pub withhold: CancellationToken,
     /// New exchanges are refused, and HTTP/2 connections get GOAWAY.
     pub drain: CancellationToken,
     /// No exchange is in flight any more; connections end.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,8 +23,14 @@
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
     },
+    tokio::time::sleep,
 };
 
+/// Part of the leave notice for which the target still gets work through the node. The target runs on, and where the
+/// nodes beside all targets of a service stop in turn, a second apart, there would otherwise be none. The rest is for
+/// telling the other nodes, and keeps what was accepted far from the end of the grace time.
+const PASSING_PART: f64 = 0.6;
+
 /// A running node. [`Node::stop`] must be called to end it.
 #[derive(Debug)]
 pub struct Node {
@@ -197,8 +203,11 @@
     pub async fn stop(self) -> NodeResult<()> {
         log::info!("node {} drains", self.settings.node);
         self.data.leave();
+        let passes_on = self.settings.leave_notice.mul_f64(PASSING_PART);
+        sleep(passes_on).await;
+        self.data.withhold_target();
         self.set_target_state(TargetState::Draining);
-        tokio::time::sleep(self.settings.leave_notice).await;
+        sleep(self.settings.leave_notice - passes_on).await;
         let grace = self
             .settings
             .stop_grace
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -302,7 +302,7 @@
         self.entry.gate.crashes.announced(is_new);
         self.views.local_target.send_if_modified(|target| {
             // The target runs on while its node stops; other nodes must not send it work through this one.
-            if self.entry.leaving.is_cancelled() {
+            if self.entry.withhold.is_cancelled() {
                 announced.state = TargetState::Draining;
             }
             let changed = *target != announced;
