--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -207,7 +207,7 @@
         sleep(passes_on).await;
         self.data.withhold_target();
         self.set_target_state(TargetState::Draining);
-        sleep(self.settings.leave_notice - passes_on).await;
+        sleep(self.settings.leave_notice.saturating_sub(passes_on)).await;
         let grace = self
             .settings
             .stop_grace
