Find a node that left and starts again

Cause: a node that stops announces that it leaves, and nobody looks for it again; when it starts again while the platform is away, it finds no join point and stays alone until the platform is back. A member that left is probed for 30 s by about 16 nodes in 5 s, whatever the size of the group, and a node that hears from an unknown node joins through it. Two tests fail before.

--- a/crates/coordination/src/membership/config.rs
+++ b/crates/coordination/src/membership/config.rs
@@ -30,8 +30,13 @@
     pub hint_fanout: usize,
     /// Bytes that a node sends in datagrams each second, headers included.
     pub bytes_per_second: u32,
-    /// Time between two probes of members that are unreachable or dead.
+    /// Time between two probes of members that are unreachable or dead, or left lately.
     pub lost_probe_period: Duration,
+    /// How long after it left a member is probed: a node that was stopped to be started again at the same address comes
+    /// back within seconds, and finds nobody itself while the platform is away.
+    pub probe_left: Duration,
+    /// Nodes that probe a member that left, on average, in each period of lost members.
+    pub left_probers: u32,
     /// How long members that are unreachable, dead or left are kept.
     pub keep_lost: Duration,
     /// Members in the table.
@@ -55,6 +60,8 @@
             hint_fanout: 4,
             bytes_per_second: 4_000,
             lost_probe_period: Duration::from_secs(5),
+            probe_left: Duration::from_secs(30),
+            left_probers: 16,
             keep_lost: Duration::from_hours(1),
             max_members: 16_384,
         }
--- a/crates/coordination/src/membership/membership.rs
+++ b/crates/coordination/src/membership/membership.rs
@@ -79,7 +79,8 @@
             table: Table::new(own.data_centre.clone()),
             budget: Budget::new(config.bytes_per_second, now),
             next_probe: now + first,
-            next_lost_probe: now + config.lost_probe_period,
+            // Nodes that start together would otherwise all probe a lost member at the same time.
+            next_lost_probe: now + config.lost_probe_period.mul_f64(rng.random()),
             next_gossip: now + config.gossip_period.mul_f64(rng.random()),
             last_tick: now,
             own,
--- a/crates/coordination/src/membership/membership/probing.rs
+++ b/crates/coordination/src/membership/membership/probing.rs
@@ -185,8 +185,8 @@
         }
     }
 
-    /// Pings one member of each data centre with members that are unreachable, dead or suspected by this node, so that
-    /// both sides of a healed cut find each other.
+    /// Pings one member of each data centre with members that are unreachable, dead, gone lately or suspected by this node,
+    /// so that both sides of a healed cut find each other and a node that starts again is found.
     pub(super) fn probe_lost(&mut self, now: Instant, rng: &mut impl Rng, output: &mut Output) {
         let suspects = self
             .suspicions
@@ -194,10 +194,18 @@
             .filter(|(_, suspicion)| suspicion.own)
             .map(|(node, _)| node);
         let mut lost: BTreeMap<&DataCentre, Vec<(&NodeId, SocketAddr)>> = BTreeMap::new();
-        for node in self.lost.keys().chain(suspects) {
-            if let Some(record) = self.table.get(node)
-                && record.presence != Presence::Left
-            {
+        // By chance, so that a member that left gets about the same number of pings in a group of any size.
+        let members = u32::try_from(self.table.probed() + 1).unwrap_or(u32::MAX);
+        let share = f64::from(self.config.left_probers) / f64::from(members);
+        let is_prober = rng.random_bool(share.min(1.0));
+        let probe_left = self.config.probe_left;
+        let lost_nodes = self.lost.iter().filter(|(node, since)| {
+            let presence = self.table.get(node).map(|record| record.presence);
+            let left_lately = now.saturating_duration_since(**since) < probe_left;
+            presence != Some(Presence::Left) || (is_prober && left_lately)
+        });
+        for node in lost_nodes.map(|(node, _)| node).chain(suspects) {
+            if let Some(record) = self.table.get(node) {
                 let address = record.member.control_address;
                 let group = lost.entry(&record.member.data_centre).or_default();
                 group.push((node, address));
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -126,6 +126,26 @@
     reuse_among_eighty: (80, 4, 0.0, 18),
 }
 
+/// Guards against a node that left, starts again and stays unknown, because it finds nobody while the platform is away.
+#[test]
+fn a_node_that_left_and_starts_again_is_found() {
+    let mut network = Network::settled(12, 3, 20);
+    network.run(Duration::from_secs(5));
+    network.act(4, Membership::leave);
+    network.nodes[4].stopped = true;
+    network.run(Duration::from_secs(1));
+    let again = Member {
+        incarnation: member(4, 3).incarnation + 1,
+        ..member(4, 3)
+    };
+    let now = network.now;
+    network.nodes[4].membership = Membership::new(Config::default(), again, now, &mut network.rng);
+    network.resume(4);
+    let bound = Config::default().lost_probe_period + LEAVE_BOUND;
+    let known = network.run_until_all(bound, |network| network.all_see(4, Presence::Alive));
+    assert!(known.is_some(), "the node is not found");
+}
+
 /// Guards against a member that stays alive where the node at its address does not know it: the prober hears another
 /// name from the address.
 #[test]
--- a/crates/node/src/control/join.rs
+++ b/crates/node/src/control/join.rs
@@ -18,7 +18,7 @@
 /// Time between two attempts to find a node while this one has known no other for long.
 const ALONE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Attempts to join through a contact from the platform. One that is not reached within a few seconds is probably gone.
+/// Attempts to join through a contact. One that is not reached within a few seconds is probably gone.
 const CONTACT_TRIES: u32 = 15;
 
 /// Time for one attempt to join. A contact without power does not answer at all and must not hold up the others.
@@ -41,10 +41,10 @@
 /// Time for one table exchange.
 const EXCHANGE_DEADLINE: Duration = Duration::from_secs(5);
 
-/// Contacts from the platform that wait to be joined through.
+/// Contacts that wait to be joined through.
 pub(super) const MAX_CONTACTS: usize = 64;
 
-/// A contact from the platform that was not reached yet.
+/// A contact that was not reached yet.
 #[derive(Debug, Clone, Copy)]
 struct Contact {
     address: SocketAddr,
@@ -60,7 +60,7 @@
     }
 }
 
-/// Joins through seeds and through contacts from the platform, then exchanges tables until the task is cancelled.
+/// Joins through seeds and through contacts, from the platform or from datagrams of unknown nodes, then exchanges tables until the task is cancelled.
 pub(super) async fn run(
     seeds: Vec<SocketAddr>,
     mut contacts: mpsc::Receiver<SocketAddr>,
--- a/crates/node/src/control/membership_actor.rs
+++ b/crates/node/src/control/membership_actor.rs
@@ -40,6 +40,7 @@
     rng: StdRng,
     sender: Sender,
     pulls: mpsc::Sender<Pull>,
+    contacts: mpsc::Sender<SocketAddr>,
     view: watch::Sender<Arc<Vec<Member>>>,
     counters: watch::Sender<Counters>,
     crashes: broadcast::Sender<CrashReport>,
@@ -150,10 +151,15 @@
         let from = declared.unwrap_or(message.from);
         self.replication
             .heard(from, *catalogue_revision, self.revision);
+        let sender = sender.clone();
         let output = self
             .membership
             .receive(from, message.datagram, now, &mut self.rng);
         self.handle_output(output);
+        if self.membership.presence(&sender).is_none() {
+            // A node that this one does not know looks for it. With a full queue, the next datagram serves as well.
+            let _ = self.contacts.try_send(from);
+        }
         self.pull(now);
     }
 }
@@ -312,7 +318,12 @@
 
 impl MembershipHandle {
     /// Starts the actor.
-    pub(super) fn start(membership: Membership, sender: Sender, pulls: mpsc::Sender<Pull>) -> Self {
+    pub(super) fn start(
+        membership: Membership,
+        sender: Sender,
+        pulls: mpsc::Sender<Pull>,
+        contacts: mpsc::Sender<SocketAddr>,
+    ) -> Self {
         let (members, view) = watch::channel(Arc::new(membership.members()));
         let (counters, counters_view) = watch::channel(membership.counters());
         let (crashes, _) = broadcast::channel(CRASH_REPORTS);
@@ -324,6 +335,7 @@
                 rng: StdRng::from_os_rng(),
                 sender,
                 pulls,
+                contacts,
                 view: members,
                 counters,
                 crashes: crashes.clone(),
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -122,7 +122,8 @@
         let mut rng = StdRng::from_os_rng();
         let state = Membership::new(Config::default(), own, Instant::now(), &mut rng);
         let (pulls, pulls_wanted) = mpsc::channel(pull::MAX_PULLS);
-        let membership = MembershipHandle::start(state, sender, pulls);
+        let (contacts, contacts_found) = mpsc::channel(join::MAX_CONTACTS);
+        let membership = MembershipHandle::start(state, sender, pulls, contacts.clone());
         let catalogue = CatalogueHandle::start(match settings.catalogue_source {
             CatalogueSource::ChangeLog => CatalogueState::default(),
             CatalogueSource::Configuration => CatalogueState::of_configurations(),
@@ -139,7 +140,6 @@
 
         let (local_target, target_changes) = watch::channel(LocalTarget::initial(settings));
         let local_target = Arc::new(local_target);
-        let (contacts, contacts_found) = mpsc::channel(join::MAX_CONTACTS);
         tasks.spawn(udp::receive(
             socket,
             membership.clone(),
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -2,11 +2,12 @@
 
 use {
     jujubeline_catalogue::{Change, Edit, Entry, Preference},
-    jujubeline_coordination::membership::TargetState,
+    jujubeline_coordination::membership::{Member, Presence, TargetState},
     jujubeline_core::Class,
     jujubeline_node::{NodeSettings, control::Control},
     std::{
         net::Ipv4Addr,
+        sync::Arc,
         time::{Duration, SystemTime},
     },
     tokio::time::timeout,
@@ -121,6 +122,48 @@
     timeout(WAIT, second.stop()).await.expect("all tasks end");
 }
 
+/// Guards against a node that was stopped and started again and knows nobody while the platform is away: the others find
+/// it, and it joins through whoever does.
+#[tokio::test]
+async fn a_node_that_starts_again_alone_is_found() {
+    let first = Control::start(&settings("a"), SystemTime::now())
+        .await
+        .expect("start");
+    let with_seed = NodeSettings {
+        seeds: vec![first.control_address()],
+        ..settings("b")
+    };
+    let second = Control::start(&with_seed, SystemTime::now())
+        .await
+        .expect("start");
+    wait_for_two(&first).await;
+    let again = NodeSettings {
+        control_address: second.control_address(),
+        ..settings("b")
+    };
+    timeout(WAIT, second.stop()).await.expect("all tasks end");
+    let second = Control::start(&again, SystemTime::now())
+        .await
+        .expect("start");
+    for control in [&first, &second] {
+        wait_for_two(control).await;
+    }
+    timeout(WAIT, first.stop()).await.expect("all tasks end");
+    timeout(WAIT, second.stop()).await.expect("all tasks end");
+}
+
+/// Waits until both nodes are alive; a node that left is looked for every 5 s.
+async fn wait_for_two(control: &Control) {
+    let both = |members: &Arc<Vec<Member>>| {
+        let alive = |member: &&Member| member.presence == Presence::Alive;
+        members.iter().filter(alive).count() == 2
+    };
+    timeout(WAIT * 2, control.views().members.wait_for(both))
+        .await
+        .expect("in time")
+        .expect("open");
+}
+
 /// Guards against a change that reverts the catalogue or skips a revision.
 #[tokio::test]
 async fn only_the_next_change_is_applied() {
