Replace stalled connections at once and retry broken responses

Cause: a connection between nodes that had stalled was opened again only when the router chose that peer, which it seldom does after failures; and the head of a response was passed on before its body, so a body that broke off reached the caller as a broken response although the request could be retried. Ruled out: the stall timeout and the PING, which ended the connection in 1.5 s.

Change: the task that drives a connection replaces it when it ends by a PING timeout; responses of a declared length up to 64 KB to idempotent requests are read in full before they are passed on, so that one that breaks off is retried within allowance and budget. The test of the killed gate waits until the shards have moved to all nodes; before, one gate could run all keys.

--- a/crates/core/src/cases.rs
+++ b/crates/core/src/cases.rs
@@ -1,6 +1,7 @@
 //! Macro for table-driven tests.
 
 /// Defines a check function and one test for each named case, which calls the function with the arguments of the case.
+/// The tests of an `async` function run on Tokio, which the package must have as a dependency.
 ///
 /// ```
 /// jujubeline_core::cases! {
@@ -29,4 +30,20 @@
             }
         )+
     };
+    (
+        $(#[$meta:meta])*
+        async fn $check:ident($($arg:ident: $kind:ty),* $(,)?) $body:block
+        $($name:ident: ($($value:expr),* $(,)?)),+ $(,)?
+    ) => {
+        $(#[$meta])*
+        #[allow(dead_code)]
+        async fn $check($($arg: $kind),*) $body
+
+        $(
+            #[tokio::test]
+            async fn $name() {
+                $check($($value),*).await;
+            }
+        )+
+    };
 }
--- a/crates/lab/tests/failures/at_most_once.rs
+++ b/crates/lab/tests/failures/at_most_once.rs
@@ -27,6 +27,8 @@
     run_test(async {
         let mut fleet = Fleet::start(4).await;
         fleet.wait_for_claims().await;
+        // Before the shards have moved to their owners of all nodes, one gate may run all keys.
+        fleet.wait_until_settled().await;
         let keys: Vec<String> = (0..KEYS).map(|n| format!("killed-{n}")).collect();
         let mut first = JoinSet::new();
         for key in keys.clone() {
--- a/crates/node/src/data/buffered_body.rs
+++ b/crates/node/src/data/buffered_body.rs
@@ -1,18 +1,22 @@
-//! Buffers request bodies up to a maximum length.
+//! Buffers request and response bodies up to a maximum length.
 
 use {
-    super::OutgoingBody,
+    super::{OutgoingBody, ResponseBody, body::BodyError},
     bytes::Bytes,
+    http::Response,
     http_body::Body,
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    jujubeline_core::RefusalReason,
+    jujubeline_core::{Refusal, RefusalReason},
     std::time::Instant,
     tokio::time::timeout_at,
 };
 
 /// Longest request body that is buffered so that it can be sent again.
 pub const MAX_REPLAY_BYTES: u64 = 64 * 1024;
+/// Longest response to an idempotent request that is buffered, so that the request can be retried when the response
+/// breaks off.
+const MAX_RETRIABLE_RESPONSE_BYTES: u64 = 64 * 1024;
 /// Longest body of a request or response of at-most-once work. The request body must be complete before the key is
 /// claimed, and the response is kept for repeats.
 pub const MAX_AT_MOST_ONCE_BYTES: usize = 1024 * 1024;
@@ -37,6 +41,33 @@
     }
 }
 
+/// Buffers a response whose declared length is at most [`MAX_RETRIABLE_RESPONSE_BYTES`]. Other responses are passed on.
+///
+/// # Errors
+///
+/// A refusal with an unknown outcome when the body broke off.
+pub async fn buffer_small_response(
+    response: Response<ResponseBody>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let is_small = (response.body().size_hint().exact())
+        .is_some_and(|length| length <= MAX_RETRIABLE_RESPONSE_BYTES);
+    if !is_small || response.body().is_end_stream() {
+        return Ok(response);
+    }
+    let (head, body) = response.into_parts();
+    match body.collect().await {
+        Ok(collected) => Ok(Response::from_parts(
+            head,
+            ResponseBody::full(collected.to_bytes()),
+        )),
+        Err(error) => Err(Refusal::unknown(match error {
+            BodyError::CutShort(_) => RefusalReason::AnswerCutShort,
+            BodyError::Deadline => RefusalReason::Deadline,
+            BodyError::Cancelled => RefusalReason::Cancelled,
+        })),
+    }
+}
+
 /// Reads the request body of at-most-once work in full.
 ///
 /// # Errors
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -6,7 +6,7 @@
         allowance::Allowance,
         attempt_end::{exchange_end, reached_target, retry_reason},
         body::BodyError,
-        buffered_body::buffer_if_small,
+        buffered_body::{buffer_if_small, buffer_small_response},
         fingerprint::{arrival_identity, fingerprint},
         forward_headers::{CallerHeaders, clean_request, clean_response_for_caller},
         gate::GateRefusal,
@@ -375,7 +375,11 @@
         let service = chosen_target.service();
         service.record_response_level(&context.entry, &chosen_target.node, level, load, now);
         self.record_call_level(accepted, service, now);
-        result.map_err(|GateRefusal { refusal, .. }| refusal)
+        let response = result.map_err(|GateRefusal { refusal, .. }| refusal)?;
+        if accepted.context.may_repeat {
+            return buffer_small_response(response).await;
+        }
+        Ok(response)
     }
 
     /// Records the level that a call of the local target met. The gate reports it in its response to the exchange that
--- a/crates/node/src/data/peers.rs
+++ b/crates/node/src/data/peers.rs
@@ -18,13 +18,13 @@
         collections::HashMap,
         net::SocketAddr,
         str::FromStr,
-        sync::Arc,
+        sync::{Arc, Weak},
         time::{Duration, Instant},
     },
     tokio::{
         net::TcpStream,
         sync::Semaphore,
-        time::{sleep_until, timeout_at},
+        time::{sleep_until, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -99,7 +99,7 @@
     /// The refusal by the gate, or a refusal with the outcome as far as it is known after a failure.
     pub async fn send(
         &self,
-        peer: &Peer,
+        peer: &Arc<Peer>,
         head: &request::Parts,
         body: OutgoingBody,
         context: &ExchangeContext,
@@ -135,54 +135,85 @@
 
     async fn sender(
         &self,
-        peer: &Peer,
+        peer: &Arc<Peer>,
         deadline: Instant,
     ) -> Result<SendRequest<OutgoingBody>, std::io::Error> {
         if let Some(sender) = peer.open_sender() {
             return Ok(sender);
         }
         let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connecting = async {
-            // One request opens the connection. The others wait for it instead of opening more.
-            let _turn = peer
-                .connecting
-                .acquire()
-                .await
-                .map_err(std::io::Error::other)?;
-            if let Some(sender) = peer.open_sender() {
-                return Ok(sender);
-            }
-            let sender = self.connect(peer.address).await?;
-            *peer.connection.lock() = Some(sender.clone());
-            Ok(sender)
-        };
-        timeout_at(until.into(), connecting).await?
+        let connecting = connect_once(peer, &self.tasks);
+        let (sender, connection) = timeout_at(until.into(), connecting).await??;
+        if let Some(connection) = connection {
+            let closing = self.closing.clone();
+            let driving = drive(Arc::downgrade(peer), connection, self.tasks.clone());
+            self.tasks.spawn(async move {
+                closing.run_until_cancelled(driving).await;
+            });
+        }
+        Ok(sender)
     }
+}
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<SendRequest<OutgoingBody>, std::io::Error> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = http2::Builder::new(TrackedExecutor(self.tasks.clone()))
-            .timer(TokioTimer::new())
-            .initial_stream_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .keep_alive_interval(KEEP_ALIVE_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(std::io::Error::other)?;
-        let closing = self.closing.clone();
-        self.tasks.spawn(async move {
-            // Connection errors are reported to the exchanges that use the connection.
-            drop(closing.run_until_cancelled(connection).await);
-        });
-        Ok(sender)
+/// HTTP/2 connection to a peer, which makes progress only while it is polled.
+type PeerConnection = http2::Connection<TokioIo<TcpStream>, OutgoingBody, TrackedExecutor>;
+
+/// Opens the connection to a peer unless another task has done so meanwhile; the connection returned is to be driven.
+/// One task opens the connection; the others wait for it instead of opening more.
+async fn connect_once(
+    peer: &Peer,
+    tasks: &TaskTracker,
+) -> Result<(SendRequest<OutgoingBody>, Option<PeerConnection>), std::io::Error> {
+    let _turn = peer
+        .connecting
+        .acquire()
+        .await
+        .map_err(std::io::Error::other)?;
+    if let Some(sender) = peer.open_sender() {
+        return Ok((sender, None));
+    }
+    let (sender, connection) = handshake(peer.address, tasks).await?;
+    *peer.connection.lock() = Some(sender.clone());
+    Ok((sender, Some(connection)))
+}
+
+/// Drives a connection until it ends. One that has stalled is replaced at once: its requests have failed, so the router
+/// seldom chooses the peer at first, and its next request would otherwise wait for the connection.
+async fn drive(peer: Weak<Peer>, mut connection: PeerConnection, tasks: TaskTracker) {
+    loop {
+        // Connection errors are reported to the exchanges that use the connection.
+        if !connection.await.is_err_and(|error| error.is_timeout()) {
+            return;
+        }
+        let Some(peer) = peer.upgrade() else {
+            return;
+        };
+        peer.drop_closed();
+        match timeout(CONNECT_TIMEOUT, connect_once(&peer, &tasks)).await {
+            Ok(Ok((_, Some(replacement)))) => connection = replacement,
+            // After a failure, the next request to the peer connects.
+            Ok(Ok((_, None)) | Err(_)) | Err(_) => return,
+        }
     }
 }
 
+async fn handshake(
+    address: SocketAddr,
+    tasks: &TaskTracker,
+) -> Result<(SendRequest<OutgoingBody>, PeerConnection), std::io::Error> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    http2::Builder::new(TrackedExecutor(tasks.clone()))
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)
+}
+
 impl Peer {
     /// Data address of the node.
     #[must_use]
--- a/crates/node/tests/target_faults.rs
+++ b/crates/node/tests/target_faults.rs
@@ -3,8 +3,17 @@
 mod support;
 
 use {
-    http::StatusCode,
-    std::{net::SocketAddr, time::Instant},
+    http::{Request, StatusCode},
+    http_body_util::Full,
+    jujubeline_core::cases,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Instant,
+    },
     support::{CONDITION_TIMEOUT, NodeProcess, call, connect, entry, get, problem},
     tokio::{
         io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
@@ -124,3 +133,53 @@
     });
     assert!(counted, "{metrics}");
 }
+
+/// Runs a target that sends `response` for each request and then closes the connection. Returns the number of requests.
+async fn closing_target(listener: TcpListener, response: &'static [u8], requests: Arc<AtomicU64>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let mut stream = BufReader::new(listener.accept().await.unwrap().0);
+        let requests = Arc::clone(&requests);
+        connections.spawn(async move {
+            if read_head(&mut stream).await.is_some() {
+                requests.fetch_add(1, Ordering::Relaxed);
+                stream.get_mut().write_all(response).await.unwrap();
+            }
+        });
+    }
+}
+
+cases! {
+    /// Guards against callers that get a broken response to a request that another target can answer, and against a
+    /// second run of a request that is not idempotent.
+    async fn a_broken_response_is_retried_only_if_the_request_is_idempotent(
+        method: &'static str,
+        expected_runs: u64,
+    ) {
+        let requests = Arc::new(AtomicU64::new(0));
+        let mut targets = JoinSet::new();
+        let mut nodes = Vec::new();
+        for name in ["first", "second"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut";
+            targets.spawn(closing_target(listener, cut, Arc::clone(&requests)));
+            nodes.push(NodeProcess::start(name, "schedules", Some(address), 8).await);
+        }
+        let mut front = NodeProcess::start("front", "other", None, 8).await;
+        let callers = front.callers;
+        let entry = entry("any", method, "/schedules/", "schedules", "");
+        let [first, second] = nodes.as_mut_slice() else {
+            unreachable!("two nodes were started");
+        };
+        connect(&mut [&mut front, first, second], &[&entry]).await;
+        let request = Request::builder().method(method).uri("/schedules/1");
+        let request = request.header("host", "test").body(Full::default());
+        let response = call(callers, request.unwrap()).await;
+        let is_complete = response.is_ok_and(|response| response.status().is_success());
+        assert!(!is_complete, "the response was cut short");
+        assert_eq!(requests.load(Ordering::Relaxed), expected_runs);
+    }
+    idempotent: ("GET", 2),
+    not_idempotent: ("POST", 1),
+}
