--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -71,6 +71,10 @@
     /// What to prefer under overload.
     #[serde(default)]
     pub prefer: Preference,
+    /// Whether the entry could not be read in full, so that its requests are refused. They must not fall through to an
+    /// entry with a shorter prefix, which may name another service.
+    #[serde(skip)]
+    pub unreadable: bool,
 }
 
 impl Entry {
--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -194,6 +194,7 @@
         concurrency: saturated(fields.required_integer("concurrency").unwrap_or(1)),
         at_most_once: fields.optional_bool("at_most_once", false).unwrap_or(false),
         keyed: fields.optional_bool("keyed", true).unwrap_or(true),
+        unreadable: false,
         prefer: fields
             .labelled_value("prefer", &PREFERENCES, Some(Preference::default()))
             .unwrap_or_default(),
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -5,6 +5,7 @@
 mod catalogue;
 mod change;
 mod check;
+mod configured;
 mod entry;
 mod fields;
 mod file;
@@ -19,11 +20,12 @@
         EntryProblem, MAX_CONCURRENCY, MAX_DEADLINE_MS, MAX_RETRY_BOUND, MAX_SPLIT, Overlap,
         is_valid_name, overlaps,
     },
+    configured::{ServiceLimit, UnreadableRoute, UsableEntries},
     entry::{ANY_METHOD, Entry, Preference, Share},
     file::{FileProblem, parse_file},
     log::{
         CHANGES_PER_SNAPSHOT, LoggedChange, RETAINED_CHANGES, Replay, ReplayError, SNAPSHOT_NAME,
         change_name, replay, revision_of_name,
     },
-    state::{CatalogueState, Difference, MAX_ENTRIES, MAX_RETIRED, StateError},
+    state::{CatalogueState, Difference, MAX_ENTRIES, MAX_RETIRED, ServiceLimits, StateError},
 };
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -1,7 +1,9 @@
 //! The catalogue in effect on a node.
 
 use {
-    crate::{Catalogue, Change, Edit, Entry, check, is_valid_name, versions::Versions},
+    crate::{
+        Catalogue, Change, Edit, Entry, ServiceLimit, check, is_valid_name, versions::Versions,
+    },
     derive_more::{Display, Error},
     jujubeline_core::{EntryName, NodeId, Revision},
     serde::{Deserialize, Serialize},
@@ -81,6 +83,18 @@
     /// Instances reinstated since `from`, each with the revision that reinstated it.
     #[serde(default)]
     pub reinstated: Vec<(Revision, NodeId)>,
+    /// Limits of the services, if they changed since `from`.
+    #[serde(skip)]
+    pub services: Option<ServiceLimits>,
+}
+
+/// Limits of all services, with the revision that last changed one of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServiceLimits {
+    /// Revision of the last change; 0 without any limits.
+    pub revision: Revision,
+    /// One item for each service that has limits.
+    pub limits: Arc<[ServiceLimit]>,
 }
 
 /// Entries and retired instances, each with the revision that last changed it. The revision in effect never decreases.
@@ -89,6 +103,7 @@
     revision: Revision,
     entries: Versions<Arc<Entry>>,
     retired: Versions<()>,
+    services: ServiceLimits,
     /// The latest revisions that were in effect on this node, oldest first, where configurations replace each other.
     /// `None` where every change follows the previous one.
     recent_revisions: Option<VecDeque<Revision>>,
@@ -133,6 +148,13 @@
         self.retired.iter().map(|(instance, ())| instance)
     }
 
+    /// Limits of a service; none if the configuration states none.
+    #[must_use]
+    pub fn service_limit(&self, service: &str) -> Option<&ServiceLimit> {
+        let mut limits = self.services.limits.iter();
+        limits.find(|limit| *limit.service == *service)
+    }
+
     /// Whether the operators have declared an instance permanently gone.
     #[must_use]
     pub fn is_retired(&self, instance: &str) -> bool {
@@ -197,12 +219,17 @@
         Ok(())
     }
 
-    /// Replaces all entries by those of a higher revision. Unchanged entries keep their revision.
+    /// Replaces all entries and limits of services by those of a higher revision. Unchanged entries keep their revision.
     ///
     /// # Errors
     ///
     /// When the revision is not higher, an entry is invalid or there are too many.
-    pub fn replace(&mut self, revision: Revision, entries: &[Entry]) -> Result<(), StateError> {
+    pub fn replace(
+        &mut self,
+        revision: Revision,
+        entries: &[Entry],
+        services: &[ServiceLimit],
+    ) -> Result<(), StateError> {
         self.check_newer(revision)?;
         let names: HashSet<&EntryName> = entries.iter().map(|entry| &entry.name).collect();
         if names.len() < entries.len() {
@@ -232,6 +259,12 @@
                     .set(revision, &entry.name, Arc::new(entry.clone()));
             }
         }
+        if *next.services.limits != *services {
+            next.services = ServiceLimits {
+                revision,
+                limits: services.into(),
+            };
+        }
         next.recent_revisions.get_or_insert_default();
         next.revision = revision;
         next.record_revision();
@@ -305,11 +338,12 @@
         Ok(())
     }
 
-    const fn empty(complete_from: Revision) -> Self {
+    fn empty(complete_from: Revision) -> Self {
         Self {
             revision: 0,
             entries: Versions::new(complete_from),
             retired: Versions::new(complete_from),
+            services: ServiceLimits::default(),
             recent_revisions: None,
         }
     }
@@ -372,6 +406,9 @@
         for (revision, instance) in &difference.retired {
             self.retired.set(*revision, instance, ());
         }
+        if let Some(services) = &difference.services {
+            self.services = services.clone();
+        }
     }
 
     fn set_since(&self, from: Revision) -> Difference {
@@ -390,6 +427,9 @@
                 .map(|(revision, instance, ())| (revision, instance.clone()))
                 .collect(),
             reinstated: Vec::new(),
+            services: Some(&self.services)
+                .filter(|services| services.revision > from)
+                .cloned(),
         }
     }
 
--- a/crates/catalogue/tests/routes.rs
+++ b/crates/catalogue/tests/routes.rs
@@ -22,6 +22,7 @@
         at_most_once: false,
         keyed: true,
         prefer: Preference::Goodput,
+        unreadable: false,
     }
 }
 
@@ -41,7 +42,7 @@
             entry("host", Some("x.example"), ANY_METHOD, "/a/"),
             entry("deeper", Some("x.example"), ANY_METHOD, "/a/b/"),
         ];
-        state.replace(5, &entries).expect("valid");
+        state.replace(5, &entries, &[]).expect("valid");
         let found = state.find(host, method, path).map(|entry| &*entry.name);
         assert_eq!(found, expected);
     }
@@ -91,15 +92,19 @@
         entry("a", None, "GET", "/a/"),
         entry("b", None, "GET", "/b/"),
     );
-    state.replace(7, &[a.clone(), b.clone()]).expect("valid");
-    state.replace(12, std::slice::from_ref(&b)).expect("valid");
+    state
+        .replace(7, &[a.clone(), b.clone()], &[])
+        .expect("valid");
+    state
+        .replace(12, std::slice::from_ref(&b), &[])
+        .expect("valid");
     assert!(state.entry("a").is_none() && state.entry("b").is_some());
-    let older = state.replace(9, &[a.clone(), b.clone()]);
+    let older = state.replace(9, &[a.clone(), b.clone()], &[]);
     assert!(
         matches!(older, Err(StateError::NotNewer { .. })),
         "{older:?}"
     );
-    let twice = state.replace(13, &[a.clone(), a]);
+    let twice = state.replace(13, &[a.clone(), a], &[]);
     assert!(
         matches!(twice, Err(StateError::Invalid { .. })),
         "{twice:?}"
@@ -120,9 +125,9 @@
         entry("b", None, "GET", "/b/"),
     );
     let mut behind = CatalogueState::default();
-    behind.replace(12, &[a, b.clone()]).expect("valid");
+    behind.replace(12, &[a, b.clone()], &[]).expect("valid");
     let mut restarted = CatalogueState::default();
-    restarted.replace(16, &[b]).expect("valid");
+    restarted.replace(16, &[b], &[]).expect("valid");
     behind.merge(&restarted.changes_since(12)).expect("valid");
     assert!(behind.entry("a").is_none(), "the entry was removed at 16");
     assert_eq!(behind.catalogue(), restarted.catalogue());
@@ -139,11 +144,15 @@
     let mut changed = b.clone();
     changed.deadline_ms += 1;
     let mut behind = CatalogueState::default();
-    behind.replace(4, std::slice::from_ref(&b)).expect("valid");
-    behind.replace(6, &[a, changed]).expect("valid");
+    behind
+        .replace(4, std::slice::from_ref(&b), &[])
+        .expect("valid");
+    behind.replace(6, &[a, changed], &[]).expect("valid");
     let mut skipped = CatalogueState::default();
-    skipped.replace(4, std::slice::from_ref(&b)).expect("valid");
-    skipped.replace(9, &[b]).expect("valid");
+    skipped
+        .replace(4, std::slice::from_ref(&b), &[])
+        .expect("valid");
+    skipped.replace(9, &[b], &[]).expect("valid");
     assert_eq!(
         skipped.changes_since(4).from,
         4,
@@ -167,12 +176,16 @@
         entry("b", None, "GET", "/b/"),
     );
     let mut peer = CatalogueState::default();
-    peer.replace(6, std::slice::from_ref(&b)).expect("valid");
-    peer.replace(9, std::slice::from_ref(&b)).expect("valid");
+    peer.replace(6, std::slice::from_ref(&b), &[])
+        .expect("valid");
+    peer.replace(9, std::slice::from_ref(&b), &[])
+        .expect("valid");
     let difference = peer.changes_since(6);
     let mut behind = CatalogueState::default();
-    behind.replace(6, std::slice::from_ref(&b)).expect("valid");
-    behind.replace(7, &[a, b]).expect("valid");
+    behind
+        .replace(6, std::slice::from_ref(&b), &[])
+        .expect("valid");
+    behind.replace(7, &[a, b], &[]).expect("valid");
     assert!(behind.merge(&difference).is_err());
     behind.merge(&peer.changes_since(7)).expect("valid");
     assert_eq!(behind.catalogue(), peer.catalogue());
@@ -187,13 +200,15 @@
         entry("b", None, "GET", "/b/"),
     );
     let mut peer = CatalogueState::default();
-    peer.replace(4, std::slice::from_ref(&b)).expect("valid");
+    peer.replace(4, std::slice::from_ref(&b), &[])
+        .expect("valid");
     let mut merged = CatalogueState::for_configurations();
     merged.merge(&peer.changes_since(0)).expect("valid");
-    peer.replace(9, std::slice::from_ref(&b)).expect("valid");
+    peer.replace(9, std::slice::from_ref(&b), &[])
+        .expect("valid");
     merged.merge(&peer.changes_since(4)).expect("valid");
     let mut behind = CatalogueState::default();
-    behind.replace(6, &[a, b]).expect("valid");
+    behind.replace(6, &[a, b], &[]).expect("valid");
     behind.merge(&merged.changes_since(6)).expect("valid");
     assert_eq!(behind.catalogue(), merged.catalogue());
 }
--- a/crates/catalogue/tests/state.rs
+++ b/crates/catalogue/tests/state.rs
@@ -189,6 +189,7 @@
         removed: Vec::new(),
         retired: vec![(2, "host-1".into())],
         reinstated: Vec::new(),
+        services: None,
     };
     edit(&mut difference);
     difference
--- a/crates/coordination/src/replication/mod.rs
+++ b/crates/coordination/src/replication/mod.rs
@@ -8,5 +8,5 @@
 pub use {
     join_points::{JOIN_POINTS_PER_DATA_CENTRE, JoinPoint, join_point_name, join_points_to_write},
     replication::{PULL_DEADLINE, Pull, Replication},
-    watchers::{WATCHERS_PER_DATA_CENTRE, watches_platform},
+    watchers::{WATCHERS_PER_DATA_CENTRE, configuration_check_period, watches_platform},
 };
--- a/crates/coordination/src/replication/watchers.rs
+++ b/crates/coordination/src/replication/watchers.rs
@@ -3,12 +3,28 @@
 use {
     crate::membership::{Member, Presence},
     jujubeline_core::{NodeId, rendezvous_weight},
+    std::time::Duration,
 };
 
 /// Nodes of each data centre that watch the platform. A watch counts as a call, so the number does not grow with the
 /// fleet; the second node covers the time until the failure of the first is detected.
 pub const WATCHERS_PER_DATA_CENTRE: usize = 2;
 
+/// Average time between two checks of the configuration by any node that does not watch the platform. A change that no
+/// watcher learns of reaches some node in about this time.
+const CHECK_SPACING: Duration = Duration::from_millis(700);
+
+/// Shortest time between two checks by one node.
+const MIN_CHECK_PERIOD: Duration = Duration::from_secs(5);
+
+/// Average time between two checks of the configuration by one node, in a fleet with this many live members. The number
+/// of checks by the whole fleet does not grow with it.
+#[must_use]
+pub fn configuration_check_period(live_members: usize) -> Duration {
+    let members = u32::try_from(live_members).unwrap_or(u32::MAX);
+    CHECK_SPACING.saturating_mul(members).max(MIN_CHECK_PERIOD)
+}
+
 /// Whether this node is among those of its data centre that watch the platform.
 ///
 /// Nodes whose member tables differ may disagree for a while, so that more or fewer than two watch. This is safe,
--- a/crates/coordination/tests/replication.rs
+++ b/crates/coordination/tests/replication.rs
@@ -42,6 +42,7 @@
         removed: Vec::new(),
         retired: Vec::new(),
         reinstated: Vec::new(),
+        services: None,
     }
 }
 
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -18,6 +18,8 @@
     NoTarget,
     /// The node has no catalogue yet.
     NoCatalogue,
+    /// The catalogue entry could not be read in full, so its requests are refused.
+    EntryUnreadable,
     /// The deadline has passed or would pass before an answer.
     Deadline,
     /// The caller disconnected before it received an answer.
@@ -68,13 +70,14 @@
 
 impl RefusalReason {
     /// All reasons, in the order of the counters.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::BadRequest,
         Self::KeyMissing,
         Self::KeyReused,
         Self::NoEntry,
         Self::NoTarget,
         Self::NoCatalogue,
+        Self::EntryUnreadable,
         Self::Deadline,
         Self::Cancelled,
         Self::AdmissionLevel,
@@ -110,6 +113,7 @@
             Self::NoEntry => "no_entry",
             Self::NoTarget => "no_target",
             Self::NoCatalogue => "no_catalogue",
+            Self::EntryUnreadable => "entry_unreadable",
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
             Self::AdmissionLevel => "admission_level",
@@ -158,6 +162,7 @@
             Self::TargetUnreachable | Self::AnswerCutShort | Self::OutcomeLost => 502,
             Self::NoTarget
             | Self::NoCatalogue
+            | Self::EntryUnreadable
             | Self::AdmissionLevel
             | Self::ConcurrencyLimit
             | Self::QueueFull
@@ -184,6 +189,7 @@
             Self::NoEntry => "No catalogue entry matches the method and path.",
             Self::NoTarget => "No target of the service is known.",
             Self::NoCatalogue => "The node has no catalogue yet.",
+            Self::EntryUnreadable => "The catalogue entry of this kind of request cannot be read.",
             Self::Deadline => "The deadline has passed or would pass before an answer.",
             Self::Cancelled => "The caller went away.",
             Self::AdmissionLevel => "The admission level of the service excludes the request.",
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -219,6 +219,7 @@
         at_most_once: false,
         keyed: true,
         prefer: Preference::Goodput,
+        unreadable: false,
     };
     [
         entry("schedules-read", "GET", "/schedules/", "schedules"),
--- a/crates/node/src/control/catalogue_actor.rs
+++ b/crates/node/src/control/catalogue_actor.rs
@@ -3,7 +3,9 @@
 use {
     super::error::{ControlError, ControlResult, report},
     crate::CatalogueView,
-    jujubeline_catalogue::{CatalogueState, Change, Difference, Entry, LoggedChange, StateError},
+    jujubeline_catalogue::{
+        CatalogueState, Change, Difference, Entry, LoggedChange, ServiceLimit, StateError,
+    },
     jujubeline_core::{Peer, Revision, Step},
     kameo::{
         Actor,
@@ -35,8 +37,8 @@
 /// Applies the difference between this node and a peer or the snapshot.
 struct Merge(Difference);
 
-/// Replaces all entries by those of a higher revision.
-struct Replace(Revision, Vec<Entry>);
+/// Replaces all entries and limits of services by those of a higher revision.
+struct Replace(Revision, Vec<Entry>, Vec<ServiceLimit>);
 
 impl CatalogueActor {
     fn publish(&self) -> Revision {
@@ -87,7 +89,7 @@
         message: Replace,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        self.state.replace(message.0, &message.1)?;
+        self.state.replace(message.0, &message.1, &message.2)?;
         Ok(self.publish())
     }
 }
@@ -128,7 +130,7 @@
         self.actor.ask(Advance(logged)).await.map_err(into_report)
     }
 
-    /// Replaces all entries by those of a higher revision.
+    /// Replaces all entries and limits of services by those of a higher revision.
     ///
     /// # Errors
     ///
@@ -137,9 +139,10 @@
         &self,
         revision: Revision,
         entries: Vec<Entry>,
+        services: Vec<ServiceLimit>,
     ) -> ControlResult<Revision> {
         self.actor
-            .ask(Replace(revision, entries))
+            .ask(Replace(revision, entries, services))
             .await
             .map_err(into_report)
     }
--- a/crates/node/src/control/configuration_follow.rs
+++ b/crates/node/src/control/configuration_follow.rs
@@ -1,10 +1,19 @@
 //! Follows the catalogue in the configuration that the platform's operators write.
 
 use {
-    super::catalogue_actor::CatalogueHandle,
+    super::{
+        catalogue_actor::CatalogueHandle,
+        membership_actor::MembershipHandle,
+        platform_follow::{is_platform_watcher, while_watcher},
+    },
     crate::LocalTarget,
     error_stack::Report,
-    jujubeline_core::ServiceName,
+    jujubeline_catalogue::{ServiceLimit, UsableEntries},
+    jujubeline_coordination::{
+        membership::{Member, Presence},
+        replication::configuration_check_period,
+    },
+    jujubeline_core::{NodeId, ServiceName},
     jujubeline_platform::{
         CONFIGURATION_NAME, Configuration, Event, Kind, Object, PlatformClient, PlatformError,
     },
@@ -16,19 +25,27 @@
 /// Longest random delay before the platform is read again after an error, so that nodes do not read again all at once.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(400);
 
-/// Applies the configuration at the platform to the catalogue and to the local target.
+/// Applies the configuration at the platform to the catalogue. The nodes that are chosen watch it; all others learn new
+/// revisions from peers, and check now and then in case that no chosen node reaches the platform.
 #[derive(Debug, Clone)]
 pub(super) struct ConfigurationFollower {
     pub platform: PlatformClient,
+    pub own: NodeId,
+    pub membership: MembershipHandle,
     pub catalogue: CatalogueHandle,
-    pub service: ServiceName,
-    pub local_target: Arc<watch::Sender<LocalTarget>>,
 }
 
 impl ConfigurationFollower {
     /// Follows the configuration until the task is cancelled. While the platform cannot be read, the last configuration
     /// stays in effect.
     pub(super) async fn run(self) {
+        tokio::join!(
+            while_watcher(&self.own, &self.membership, || self.watch()),
+            self.check_regularly(),
+        );
+    }
+
+    async fn watch(&self) {
         let mut is_reachable = true;
         loop {
             let Err(error) = self.follow(&mut is_reachable).await;
@@ -62,8 +79,30 @@
         }
     }
 
-    /// Applies a newer configuration. One that cannot be parsed changes nothing. If the catalogue refuses the entries,
-    /// the local target has already been updated.
+    /// Reads the configuration now and then while other nodes watch it. The read may be answered from a copy that is
+    /// seconds old.
+    async fn check_regularly(&self) {
+        let members = self.membership.view();
+        loop {
+            let live = live_count(&members.borrow());
+            let jitter: f64 = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(configuration_check_period(live).mul_f64(jitter)).await;
+            if is_platform_watcher(&self.own, &members.borrow()) {
+                continue;
+            }
+            let read = self
+                .platform
+                .get_stale(Kind::Configuration, CONFIGURATION_NAME);
+            match read.await {
+                Ok(Some(object)) => self.apply_update(&object).await,
+                Ok(None) => {}
+                Err(error) => log::debug!("configuration was not checked: {error:?}"),
+            }
+        }
+    }
+
+    /// Applies a newer configuration. Routes that cannot be read are refused alone; a configuration that cannot be read
+    /// at all changes nothing.
     async fn apply_update(&self, object: &Object) {
         if object.name != CONFIGURATION_NAME {
             return;
@@ -82,29 +121,53 @@
         if revision <= self.catalogue.view().borrow().revision() {
             return;
         }
-        self.update_target(&configuration);
-        match self
-            .catalogue
-            .replace(revision, configuration.entries)
-            .await
+        let usable = UsableEntries::from_routes(configuration.routes);
+        for problem in usable
+            .problems
+            .iter()
+            .chain(&configuration.service_problems)
         {
+            log::warn!("catalogue revision {revision} is applied without a part: {problem}");
+        }
+        let replaced = self
+            .catalogue
+            .replace(revision, usable.entries, configuration.services);
+        match replaced.await {
             Ok(_) => log::info!("catalogue revision {revision} is in effect"),
             Err(error) => log::warn!("catalogue revision {revision} is refused: {error:#}"),
         }
     }
+}
+
+fn live_count(members: &[Member]) -> usize {
+    let is_live = |member: &&Member| matches!(member.presence, Presence::Alive | Presence::Suspect);
+    members.iter().filter(is_live).count()
+}
 
-    /// Updates the connections and the health check of the local target from the configuration.
-    fn update_target(&self, configuration: &Configuration) {
-        let mut services = configuration.services.iter();
-        let Some(limit) = services.find(|limit| limit.service == self.service) else {
+/// Passes the limits of a service from the catalogue to the local target, until the task is cancelled.
+pub(super) async fn follow_limits(
+    catalogue: CatalogueHandle,
+    service: ServiceName,
+    local_target: Arc<watch::Sender<LocalTarget>>,
+) {
+    let mut view = catalogue.view();
+    loop {
+        let limit = view.borrow_and_update().service_limit(&service).cloned();
+        if let Some(limit) = limit {
+            update_target(&local_target, &limit);
+        }
+        if view.changed().await.is_err() {
             return;
-        };
-        self.local_target.send_if_modified(|target| {
-            let changed =
-                target.connections != limit.connections || target.health_path != limit.health_path;
-            target.connections = limit.connections;
-            target.health_path.clone_from(&limit.health_path);
-            changed
-        });
+        }
     }
 }
+
+fn update_target(local_target: &watch::Sender<LocalTarget>, limit: &ServiceLimit) {
+    local_target.send_if_modified(|target| {
+        let changed =
+            target.connections != limit.connections || target.health_path != limit.health_path;
+        target.connections = limit.connections;
+        target.health_path.clone_from(&limit.health_path);
+        changed
+    });
+}
--- a/crates/node/src/control/join.rs
+++ b/crates/node/src/control/join.rs
@@ -3,6 +3,7 @@
 use {
     super::{membership_actor::MembershipHandle, rpc::Peers},
     futures::future::join_all,
+    rand::seq::SliceRandom,
     std::{net::SocketAddr, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
@@ -41,6 +42,9 @@
 /// Timeout of one table exchange.
 const EXCHANGE_DEADLINE: Duration = Duration::from_secs(5);
 
+/// Contacts that are tried at the same time. A contact returns its whole table, which mostly names the other contacts.
+const CONTACTS_AT_ONCE: usize = 3;
+
 /// Maximum number of contacts that wait to be joined through.
 pub(super) const MAX_CONTACTS: usize = 64;
 
@@ -120,22 +124,27 @@
     doubled.min(EARLY_EXCHANGE_PERIOD)
 }
 
-/// Tries to join through all contacts at once and returns those that were not reached and have attempts left.
+/// Tries to join through all contacts, a few at once, and returns those that were not reached and have attempts left.
 async fn join_through_contacts(
-    contacts: Vec<Contact>,
+    mut contacts: Vec<Contact>,
     own: SocketAddr,
     membership: &MembershipHandle,
     peers: &Peers,
 ) -> Vec<Contact> {
-    let attempts = contacts.into_iter().map(|contact| async move {
-        let reached = join_through(contact.address, own, membership, peers).await;
-        let attempts_left = contact.attempts_left - 1;
-        (!reached && attempts_left > 0).then_some(Contact {
-            attempts_left,
-            ..contact
-        })
-    });
-    join_all(attempts).await.into_iter().flatten().collect()
+    contacts.shuffle(&mut rand::rng());
+    let mut unreached = Vec::new();
+    for some in contacts.chunks(CONTACTS_AT_ONCE) {
+        let attempts = some.iter().map(|contact| async move {
+            let reached = join_through(contact.address, own, membership, peers).await;
+            let attempts_left = contact.attempts_left - 1;
+            (!reached && attempts_left > 0).then_some(Contact {
+                attempts_left,
+                ..*contact
+            })
+        });
+        unreached.extend(join_all(attempts).await.into_iter().flatten());
+    }
+    unreached
 }
 
 /// Merges the table of a node that is not a member yet, and announces this node to the others. Returns whether the
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         catalogue_actor::CatalogueHandle,
-        configuration_follow::ConfigurationFollower,
+        configuration_follow::{ConfigurationFollower, follow_limits},
         error::{ControlError, ControlResult, report},
         join, join_points,
         membership_actor::MembershipHandle,
@@ -318,15 +318,22 @@
             membership.clone(),
             catalogue,
         )),
-        CatalogueSource::Configuration => tasks.spawn(
-            ConfigurationFollower {
-                platform,
-                catalogue,
-                service: settings.service.clone(),
+        CatalogueSource::Configuration => {
+            tasks.spawn(follow_limits(
+                catalogue.clone(),
+                settings.service.clone(),
                 local_target,
-            }
-            .run(),
-        ),
+            ));
+            tasks.spawn(
+                ConfigurationFollower {
+                    platform,
+                    own: settings.node.clone(),
+                    membership: membership.clone(),
+                    catalogue,
+                }
+                .run(),
+            );
+        }
     }
 }
 
--- a/crates/node/src/control/platform_follow.rs
+++ b/crates/node/src/control/platform_follow.rs
@@ -8,7 +8,7 @@
     jujubeline_core::NodeId,
     jujubeline_platform::{Event, Kind, Object, PlatformClient, PlatformError, ResourceVersion},
     rand::Rng,
-    std::{sync::Arc, time::Duration},
+    std::{future::Future, sync::Arc, time::Duration},
     tokio::sync::watch,
 };
 
@@ -16,6 +16,9 @@
 /// time when the platform restarts.
 const MAX_REREAD_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which a node that has just started waits to join others before it watches the platform on its own.
+const JOIN_WAIT: Duration = Duration::from_secs(1);
+
 /// Follows the platform while this node is one of its watchers, until the task is cancelled.
 pub(super) async fn run(
     platform: PlatformClient,
@@ -23,10 +26,24 @@
     membership: MembershipHandle,
     catalogue: CatalogueHandle,
 ) {
+    while_watcher(&own, &membership, || follow(&platform, &catalogue)).await;
+}
+
+/// Runs `watch` while this node is one of the watchers of the platform, until the task is cancelled.
+pub(super) async fn while_watcher<F>(
+    own: &NodeId,
+    membership: &MembershipHandle,
+    watch: impl Fn() -> F,
+) where
+    F: Future<Output = ()>,
+{
     let mut members = membership.view();
+    // Alone, every node would be a watcher; nodes that start together find each other within this time.
+    let joined = members.wait_for(|members| members.len() > 1);
+    let _ = tokio::time::timeout(JOIN_WAIT, joined).await;
     loop {
         let Ok(_) = members
-            .wait_for(|members| is_platform_watcher(&own, members))
+            .wait_for(|members| is_platform_watcher(own, members))
             .await
         else {
             return;
@@ -34,10 +51,10 @@
         log::info!("this node watches the platform");
         let mut member_changes = members.clone();
         tokio::select! {
-            _ = member_changes.wait_for(|members| !is_platform_watcher(&own, members)) => {
+            _ = member_changes.wait_for(|members| !is_platform_watcher(own, members)) => {
                 log::info!("this node no longer watches the platform");
             }
-            () = follow(&platform, &catalogue) => {}
+            () = watch() => {}
         }
     }
 }
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -242,12 +242,16 @@
     fn find_entry(&self, head: &request::Parts) -> Result<Arc<Entry>, Refusal> {
         let index = self.routes.index();
         if index.revision() == 0 {
-            return Err(rejected(RefusalReason::NoCatalogue));
+            return Err(refused_without_entry(head, RefusalReason::NoCatalogue));
         }
-        index
-            .find(host(head), head.method.as_str(), head.uri.path())
+        let found = index.find(host(head), head.method.as_str(), head.uri.path());
+        let entry = found
             .cloned()
-            .ok_or_else(|| rejected(RefusalReason::NoEntry))
+            .ok_or_else(|| refused_without_entry(head, RefusalReason::NoEntry))?;
+        if entry.unreadable {
+            return Err(refused_without_entry(head, RefusalReason::EntryUnreadable));
+        }
+        Ok(entry)
     }
 
     async fn run(
@@ -539,6 +543,15 @@
     Refusal::not_run(NotRunProof::RejectedAtEntry, reason)
 }
 
+/// A refusal of a request whose catalogue entry is not known. With an idempotency key the outcome is unknown: the key may
+/// have run through another node, which knew the entry.
+fn refused_without_entry(head: &request::Parts, reason: RefusalReason) -> Refusal {
+    if head.headers.contains_key(names::IDEMPOTENCY_KEY) {
+        return Refusal::unknown(reason);
+    }
+    rejected(reason)
+}
+
 /// A refusal before the claim owner was asked. The outcome is unknown for at-most-once entries, because an earlier
 /// exchange with the same key may have run.
 const fn refused_before_claim(entry: &Entry, reason: RefusalReason) -> Refusal {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Metrics, NodeSettings, Views,
+        CatalogueSource, Metrics, NodeSettings, Views,
         claims::{Claims, ClaimsSettings},
         claims_link::{claim_calls, serve_claims},
         control::Control,
@@ -263,8 +263,12 @@
 }
 
 /// Starts the claims of a node. Without a platform there is no shard table to agree on owners, so there are no claims
-/// and at-most-once work is refused.
+/// and keyed at-most-once work is refused. Entries of a configuration have no keys, so they need no claims; a shard table
+/// would then cost one conditional write for each node and takeover.
 fn start_claims(settings: &NodeSettings, control: &Control) -> Option<Arc<Claims>> {
+    if settings.catalogue_source == CatalogueSource::Configuration {
+        return None;
+    }
     let own_gate = RegisteredGate {
         gate: GateId {
             node: settings.node.clone(),
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -72,6 +72,7 @@
             at_most_once: false,
             keyed: true,
             prefer: Preference::Goodput,
+            unreadable: false,
         })],
     }
 }
--- a/crates/node/tests/contract.rs
+++ b/crates/node/tests/contract.rs
@@ -306,6 +306,25 @@
     assert_eq!(pair.target.executions().total, 0);
 }
 
+/// Guards against a false `not_run` from a node that does not know the catalogue entry yet, or not any more: the key may
+/// have run through another node.
+#[tokio::test]
+async fn keyed_request_without_an_entry_has_an_unknown_outcome() {
+    let pair = pair(4).await;
+    let new = NodeProcess::start("new", "-", None, 4).await;
+    for (callers, reason) in [
+        (pair.edge.callers, "no_entry"),
+        (new.callers, "no_catalogue"),
+    ] {
+        let mut request = get("/unknown");
+        let key = "paid-once".parse().unwrap();
+        request.headers_mut().insert("idempotency-key", key);
+        let problem = problem(&call(callers, request).await.unwrap());
+        assert_eq!(problem["reason"], reason);
+        assert_eq!(problem["outcome"], "unknown");
+    }
+}
+
 /// Guards against headers of the protocol between nodes that a caller can set or receive.
 #[tokio::test]
 async fn callers_neither_set_nor_receive_internal_headers() {
--- a/crates/protocol/schema/node.capnp
+++ b/crates/protocol/schema/node.capnp
@@ -114,6 +114,7 @@
   unkeyed @13 :Bool;
   maxAttempts @14 :UInt32;
   # 0: as many attempts as the retry bound allows.
+  unreadable @15 :Bool;
 }
 
 struct Share {
@@ -143,6 +144,16 @@
   removed @3 :List(EntryRemoved);
   retired @4 :List(InstanceChanged);
   reinstated @5 :List(InstanceChanged);
+  servicesRevision @6 :UInt64;
+  # 0: the limits of the services have not changed since from.
+  services @7 :List(ServiceLimit);
+}
+
+struct ServiceLimit {
+  service @0 :Text;
+  connections @1 :UInt32;
+  healthPath @2 :Text;
+  # Empty: the targets have no health check.
 }
 
 # --- Claims -----------------------------------------------------------------
--- a/crates/protocol/src/bounds.rs
+++ b/crates/protocol/src/bounds.rs
@@ -26,6 +26,9 @@
 /// Limit of the instances retired, and of those reinstated, in one difference.
 pub(crate) const MAX_INSTANCES: usize = 16_384;
 
+/// Limit of the services whose limits one difference holds.
+pub(crate) const MAX_SERVICES: usize = 4_096;
+
 /// Length limit of the owner of a catalogue entry.
 pub(crate) const MAX_OWNER_BYTES: usize = 256;
 
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -5,12 +5,15 @@
         ProtocolError,
         bounds::{
             MAX_ENTRIES, MAX_ENTRY_NAME_BYTES, MAX_HOST_BYTES, MAX_INSTANCES, MAX_METHOD_BYTES,
-            MAX_OWNER_BYTES, MAX_PATH_BYTES, check_size, list_len, name, name_within, text,
+            MAX_OWNER_BYTES, MAX_PATH_BYTES, MAX_SERVICES, check_size, list_len, name, name_within,
+            text,
         },
         node_capnp::{self, difference, entry, instance_changed},
     },
     capnp::struct_list,
-    jujubeline_catalogue::{Difference, Entry, MAX_SPLIT, Preference, Share},
+    jujubeline_catalogue::{
+        Difference, Entry, MAX_SPLIT, Preference, ServiceLimit, ServiceLimits, Share,
+    },
     jujubeline_core::{Class, NodeId, Revision},
 };
 
@@ -18,8 +21,8 @@
 ///
 /// # Errors
 ///
-/// When more than 5,120 entries are set, or removed, or more than 16,384 instances are retired, or reinstated. Each
-/// list is counted separately.
+/// When more than 5,120 entries are set, or removed, more than 16,384 instances are retired, or reinstated, or there are
+/// limits of more than 4,096 services. Each list is counted separately.
 pub fn write_difference(
     mut builder: difference::Builder<'_>,
     difference: &Difference,
@@ -51,10 +54,49 @@
         difference.reinstated.len(),
         MAX_INSTANCES,
     )?;
-    write_instances(builder.init_reinstated(len), &difference.reinstated);
+    write_instances(
+        builder.reborrow().init_reinstated(len),
+        &difference.reinstated,
+    );
+    if let Some(services) = &difference.services {
+        let len = list_len("difference.services", services.limits.len(), MAX_SERVICES)?;
+        builder.set_services_revision(services.revision);
+        let mut list = builder.init_services(len);
+        for (index, limit) in (0..).zip(services.limits.iter()) {
+            let mut item = list.reborrow().get(index);
+            item.set_service(&*limit.service);
+            item.set_connections(limit.connections);
+            item.set_health_path(limit.health_path.as_deref().unwrap_or_default());
+        }
+    }
     Ok(())
 }
 
+fn read_services(reader: difference::Reader<'_>) -> Result<Option<ServiceLimits>, ProtocolError> {
+    let revision = reader.get_services_revision();
+    if revision == 0 {
+        return Ok(None);
+    }
+    let services = reader.get_services()?;
+    check_size("difference.services", services.len() as usize, MAX_SERVICES)?;
+    let limits = services
+        .iter()
+        .map(|item| {
+            let path = text(
+                "service.healthPath",
+                item.get_health_path()?,
+                MAX_PATH_BYTES,
+            )?;
+            Ok(ServiceLimit {
+                service: name("service.service", item.get_service()?)?,
+                connections: item.get_connections(),
+                health_path: (!path.is_empty()).then(|| path.to_owned()),
+            })
+        })
+        .collect::<Result<_, ProtocolError>>()?;
+    Ok(Some(ServiceLimits { revision, limits }))
+}
+
 fn write_instances(
     mut list: struct_list::Builder<'_, instance_changed::Owned>,
     instances: &[(Revision, NodeId)],
@@ -80,7 +122,8 @@
 /// # Errors
 ///
 /// When one of the lists of set and removed entries has more than 5,120 items, one of the lists of retired and
-/// reinstated instances has more than 16,384, or a field of an entry or the name of an instance is invalid.
+/// reinstated instances has more than 16,384, there are limits of more than 4,096 services, or a field of an entry, the
+/// name of an instance or the limits of a service are invalid.
 pub fn read_difference(reader: difference::Reader<'_>) -> Result<Difference, ProtocolError> {
     let set = reader.get_set()?;
     check_size("difference.set", set.len() as usize, MAX_ENTRIES)?;
@@ -102,6 +145,7 @@
             .collect::<Result<_, ProtocolError>>()?,
         retired: read_instances(reader.get_retired()?)?,
         reinstated: read_instances(reader.get_reinstated()?)?,
+        services: read_services(reader)?,
     })
 }
 
@@ -128,6 +172,7 @@
     builder.set_host(entry.host.as_deref().unwrap_or_default());
     builder.set_unkeyed(!entry.keyed);
     builder.set_max_attempts(entry.max_attempts.unwrap_or(0));
+    builder.set_unreadable(entry.unreadable);
     // Catalogue validation limits the number of shares, so the conversion does not fail.
     let count = u32::try_from(entry.split.len()).unwrap_or(u32::MAX);
     let mut shares = builder.init_split(count);
@@ -175,6 +220,7 @@
         at_most_once: reader.get_at_most_once(),
         max_attempts: Some(reader.get_max_attempts()).filter(|&attempts| attempts > 0),
         keyed: !reader.get_unkeyed(),
+        unreadable: reader.get_unreadable(),
         prefer: match reader.get_prefer()? {
             node_capnp::Preference::Goodput => Preference::Goodput,
             node_capnp::Preference::Recovery => Preference::Recovery,
--- a/crates/protocol/src/node_capnp.rs
+++ b/crates/protocol/src/node_capnp.rs
@@ -2941,6 +2941,10 @@
         pub fn get_max_attempts(self) -> u32 {
             self.reader.get_data_field::<u32>(6)
         }
+        #[inline]
+        pub fn get_unreadable(self) -> bool {
+            self.reader.get_bool_field(18)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3171,6 +3175,14 @@
         pub fn set_max_attempts(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(6, value);
         }
+        #[inline]
+        pub fn get_unreadable(self) -> bool {
+            self.builder.get_bool_field(18)
+        }
+        #[inline]
+        pub fn set_unreadable(&mut self, value: bool)  {
+            self.builder.set_bool_field(18, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3182,7 +3194,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 252] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 268] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(71, 56, 50, 31, 208, 41, 243, 191),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -3192,119 +3204,126 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3435,6 +3454,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 100, 97, 98),
+            ::capnp::word(108, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3453,6 +3481,7 @@
                 12 => <::capnp::struct_list::Owned<crate::node_capnp::share::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3466,9 +3495,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,14,2,0,1,3,10,7,4,12,13];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,14,2,0,1,3,10,7,4,12,13,15];
         pub(crate) const TYPE_ID: u64 = 0xbff3_29d0_1f32_3847;
     }
 }
@@ -4522,11 +4551,23 @@
         pub fn has_reinstated(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_services_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::service_limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4656,6 +4697,30 @@
         pub fn has_reinstated(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_services_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_services_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::service_limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_services(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::service_limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_services(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::service_limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4667,66 +4732,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 161] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(47, 236, 58, 47, 58, 77, 249, 174),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 105, 102, 102, 101),
             ::capnp::word(114, 101, 110, 99, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4792,6 +4871,29 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(82, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 82, 233, 176, 9, 87, 249, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4801,6 +4903,8 @@
                 3 => <::capnp::struct_list::Owned<crate::node_capnp::entry_removed::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::node_capnp::instance_changed::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::node_capnp::instance_changed::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::node_capnp::service_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4814,13 +4918,290 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,3,4,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,3,4,7,6,2,1];
         pub(crate) const TYPE_ID: u64 = 0xaef9_4d3a_2f3a_ec2f;
     }
 }
 
+pub mod service_limit {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_connections(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_health_path(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_health_path(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_connections(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_connections(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_health_path(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_health_path(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_health_path(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_health_path(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(29, 82, 233, 176, 9, 87, 249, 220),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
+            ::capnp::word(99, 101, 76, 105, 109, 105, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 110, 101, 99, 116, 105),
+            ::capnp::word(111, 110, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 108, 116, 104, 80, 97),
+            ::capnp::word(116, 104, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0xdcf9_5709_b0e9_521d;
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRunProof {
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use {
     capnp::message::Builder,
-    jujubeline_catalogue::{Difference, Entry, Preference},
+    jujubeline_catalogue::{Difference, Entry, Preference, ServiceLimit, ServiceLimits},
     jujubeline_coordination::{
         claims::{
             AttemptId, Claim, ClaimReply, Completed, Fence, FenceReply, GateId, KeyHash,
@@ -231,6 +231,7 @@
         at_most_once: true,
         keyed: true,
         prefer: Preference::Recovery,
+        unreadable: true,
     }
 }
 
@@ -244,6 +245,14 @@
         removed: vec![(7, "old".into())],
         retired: vec![(8, "payroll-4".into())],
         reinstated: vec![(9, "payroll-1".into())],
+        services: Some(ServiceLimits {
+            revision: 4,
+            limits: Arc::new([ServiceLimit {
+                service: "payroll".into(),
+                connections: 660,
+                health_path: Some("/health".to_owned()),
+            }]),
+        }),
     };
     let mut message = Builder::new_default();
     write_difference(message.init_root::<difference::Builder<'_>>(), &sent).expect("fits");
