--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,7 +7,11 @@
 mod run;
 mod settings;
 
-use {logging::StateLog, options::Command, std::process::ExitCode};
+use {logging::StateLog, mimalloc::MiMalloc, options::Command, std::process::ExitCode};
+
+/// Returns unused memory to the system. The allocator of the C library kept the peak of each load for good.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
     let command = options::command().run();
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -72,6 +72,7 @@
             Instant::now(),
         ));
         let gate = Arc::new(Gate {
+            stall_probes: parking_lot::Mutex::default(),
             pool: Arc::new(TargetPool::new(
                 target.address,
                 target.connections,
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -262,7 +262,7 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let entry = &accepted.entry;
         if entry.needs_claim() {
-            return self.run_at_most_once(accepted, body).await;
+            return Box::pin(self.run_at_most_once(accepted, body)).await;
         }
         let service = self
             .routes
@@ -359,9 +359,14 @@
             retries: grant.count(),
             ..accepted.context.clone()
         };
+        // Boxed, because each way needs only a part of the room of the other.
         let result = match &chosen_target.endpoint {
-            Endpoint::Remote(peer) => self.peers.send(peer, &accepted.head, body, &context).await,
-            Endpoint::Local => self.gate.serve(accepted.head.clone(), body, &context).await,
+            Endpoint::Remote(peer) => {
+                Box::pin(self.peers.send(peer, &accepted.head, body, &context)).await
+            }
+            Endpoint::Local => {
+                Box::pin(self.gate.serve(accepted.head.clone(), body, &context)).await
+            }
         };
         let (returned, level, load) = match &result {
             Ok(response) => {
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -27,7 +27,8 @@
         Class, Dialect, EntryName, NotRunProof, Refusal, RefusalReason, ServiceName,
         header_names as names,
     },
-    jujubeline_overload::{AdmissionRequest, ExchangeEnd, Level, LoadReport},
+    jujubeline_overload::{AdmissionRequest, ExchangeEnd, Level, LoadReport, StallProbes},
+    parking_lot::Mutex,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -76,6 +77,8 @@
     pub admission: Arc<TargetAdmission>,
     /// Detects crashes of the target and keeps the quarantine.
     pub crashes: Arc<CrashWatch>,
+    /// Bounds the requests that are sent again because their connections may have stalled.
+    pub stall_probes: Mutex<StallProbes>,
     /// Current state, address and limits of the target, from the settings, its announcements, the configuration and
     /// crash detection. Its state also changes while this node stops.
     pub target: watch::Receiver<LocalTarget>,
@@ -110,7 +113,7 @@
         context: &ExchangeContext,
     ) -> Result<Response<ResponseBody>, GateRefusal> {
         if let Some(claim) = context.claim {
-            return self.serve_at_most_once(head, body, context, claim).await;
+            return Box::pin(self.serve_at_most_once(head, body, context, claim)).await;
         }
         if self.needs_claim(context) {
             // The catalogue of the entry node is older. Without a claim the request could run twice.
@@ -120,7 +123,7 @@
         let in_flight = self.exchanges.token();
         let arrived = Instant::now();
         let id = self.attempt_id(&head.headers);
-        let exchange = match self.admit(&head, &body, context, in_flight).await {
+        let exchange = match Box::pin(self.admit(&head, &body, context, in_flight)).await {
             Ok(exchange) => exchange,
             Err(refusal) => {
                 self.record(id.as_ref(), context, &refusal, arrived);
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -6,6 +6,7 @@
         peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     },
     crate::error::{NodeError, NodeResult, report},
+    futures::FutureExt,
     http::{Request, Response, Version},
     hyper::{body::Incoming, rt::Executor, service::service_fn},
     hyper_util::{
@@ -181,12 +182,12 @@
     let _ = stream.set_nodelay(true);
     let is_http2 = Arc::new(AtomicBool::new(kind == ListenerKind::Http2));
     let seen_http2 = Arc::clone(&is_http2);
+    // The server keeps room for the future of the service for as long as the connection is open, so the future is boxed.
     let service = service_fn(move |request: Request<Incoming>| {
         if request.version() == Version::HTTP_2 {
             seen_http2.store(true, Ordering::Relaxed);
         }
-        let response = serve(peer, request);
-        async move { Ok::<_, Infallible>(response.await) }
+        serve(peer, request).map(Ok::<_, Infallible>).boxed()
     });
     let builder = connection_builder(kind, tasks);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
--- a/crates/node/src/data/stalled.rs
+++ b/crates/node/src/data/stalled.rs
@@ -23,6 +23,9 @@
 /// Connections that are tried when the target closes an idle connection before it has received the request.
 const MAX_UNSENT_TRIES: u32 = 3;
 
+/// Time between two checks of whether a waiting request may be sent again.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 type SendResult = Result<Response<Incoming>, TrySendError<Request<OutgoingBody>>>;
 
 /// One request to the target, with the exchange that it belongs to.
@@ -145,8 +148,25 @@
                 () = sleep_until(check_at.min(self.deadline).into()) => {}
             }
         }
-        // Nothing is sent again to a target that is draining or gone.
-        if !self.gate.takes_work() || !self.hop.spend() {
+        let mut probe = loop {
+            // Nothing is sent again to a target that is draining or gone.
+            if !self.gate.takes_work() {
+                return self.wait_until_deadline(sending).await;
+            }
+            if let Some(probe) = Probe::begin(self.gate) {
+                break probe;
+            }
+            let check_at = Instant::now() + PROBE_CHECK_INTERVAL;
+            tokio::select! {
+                sent = sending.as_mut() => return Ok(sent),
+                () = sleep_until(check_at.min(self.deadline).into()) => {}
+            }
+            if Instant::now() >= self.deadline {
+                return Err(Refusal::unknown(RefusalReason::Deadline));
+            }
+        };
+        if !self.hop.spend() {
+            drop(probe);
             return self.wait_until_deadline(sending).await;
         }
         let Ok(mut fresh) = self.gate.pool.lease_new(self.deadline).await else {
@@ -166,6 +186,7 @@
             }
             second = second.as_mut() => {
                 if self.completes(&second) {
+                    probe.answered();
                     // Dropping the former lease closes the stalled connection.
                     *self.lease = Some(fresh);
                     return Ok(second);
@@ -200,6 +221,36 @@
     }
 }
 
+/// A request that is being sent again. Dropping it records that there was no answer.
+struct Probe<'a> {
+    gate: &'a Gate,
+    started: Instant,
+    answered_after: Option<Duration>,
+}
+
+impl<'a> Probe<'a> {
+    fn begin(gate: &'a Gate) -> Option<Self> {
+        let started = Instant::now();
+        let may_begin = gate.stall_probes.lock().try_begin(started);
+        may_begin.then_some(Self {
+            gate,
+            started,
+            answered_after: None,
+        })
+    }
+
+    fn answered(&mut self) {
+        self.answered_after = Some(self.started.elapsed());
+    }
+}
+
+impl Drop for Probe<'_> {
+    fn drop(&mut self) {
+        let mut probes = self.gate.stall_probes.lock();
+        probes.end(self.answered_after, Instant::now());
+    }
+}
+
 /// Sets the deadline header to the time that is left now, which may be long after the request was prepared.
 fn write_deadline(gate: &Gate, deadline: Instant, request: &mut Request<OutgoingBody>) {
     let remaining = remaining_ms(deadline, Instant::now());
--- a/crates/node/src/data/target_pool.rs
+++ b/crates/node/src/data/target_pool.rs
@@ -27,6 +27,9 @@
 /// was idle for longer just as the request is sent, which leaves the outcome of the request unknown.
 pub const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
 
+/// Idle time after which a connection is closed. Each holds about 60 KB, and a target has several hundred.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
 /// Why no connection to the target is available. Nothing was sent.
 #[derive(Debug, Display, Error)]
 pub enum PoolError {
@@ -54,6 +57,12 @@
     _permit: OwnedSemaphorePermit,
 }
 
+impl Connection {
+    fn is_worth_keeping(&self) -> bool {
+        !self.sender.is_closed() && self.idle_since.elapsed() <= MAX_IDLE
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -148,9 +157,7 @@
     /// Takes the most recently used connection that is ready, so that surplus connections age and are evicted.
     fn take_ready(&self, max_idle: Option<Duration>) -> Option<Connection> {
         let mut state = self.state.lock();
-        state
-            .idle
-            .retain(|connection| !connection.sender.is_closed());
+        state.idle.retain(Connection::is_worth_keeping);
         let position = state.idle.iter().rposition(|connection| {
             connection.sender.is_ready()
                 && max_idle.is_none_or(|max_idle| connection.idle_since.elapsed() <= max_idle)
--- a/crates/overload/src/connection/mod.rs
+++ b/crates/overload/src/connection/mod.rs
@@ -1,5 +1,9 @@
 //! Detection of stalled connections.
 
 mod stall_detector;
+mod stall_probes;
 
-pub use stall_detector::{ProbeKind, StallAction, StallDetector};
+pub use {
+    stall_detector::{ProbeKind, StallAction, StallDetector},
+    stall_probes::StallProbes,
+};
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -16,7 +16,7 @@
         EntryLimit, EntrySlot, GateAdmission, Level, ObservedLevels, Permit, Ticket,
         TicketDecision, WaitingRequest,
     },
-    connection::{ProbeKind, StallAction, StallDetector},
+    connection::{ProbeKind, StallAction, StallDetector, StallProbes},
     crash::{ClearReport, CrashId, CrashReport, Quarantine, QuarantineReport, SuspectDecision},
     exchange_end::ExchangeEnd,
     retry::{
--- a/crates/overload/tests/connections.rs
+++ b/crates/overload/tests/connections.rs
@@ -2,7 +2,7 @@
 
 use {
     jujubeline_core::cases,
-    jujubeline_overload::{ProbeKind, StallAction, StallDetector},
+    jujubeline_overload::{ProbeKind, StallAction, StallDetector, StallProbes},
     std::time::{Duration, Instant},
 };
 
@@ -66,3 +66,42 @@
     assert_eq!(StallDetector::stall_timeout(P99), ms(1_000));
     assert_eq!(StallDetector::stall_timeout(ms(800)), ms(2_400));
 }
+
+/// Guards against a slow target that receives each request a second time, which doubles its load when it can bear it
+/// least.
+#[test]
+fn a_slow_target_gets_one_probe_a_second() {
+    let start = Instant::now();
+    let mut probes = StallProbes::default();
+    let mut sent = 0;
+    // 100 requests wait for 10 s, and each second copy is answered after 800 ms, as slowly as the first.
+    let mut probing_since = None;
+    for step in 0..1_000 {
+        let now = start + ms(step * 10);
+        if probing_since.is_some_and(|since| now >= since + ms(800)) {
+            probes.end(Some(ms(800)), now);
+            probing_since = None;
+        }
+        for _ in 0..100 {
+            if probes.try_begin(now) {
+                probing_since = Some(now);
+                sent += 1;
+            }
+        }
+    }
+    assert!(sent <= 10, "{sent} requests were sent again");
+}
+
+/// Guards against requests that wait until their deadline when all connections have gone silent.
+#[test]
+fn all_requests_follow_a_probe_that_is_answered_quickly() {
+    let start = Instant::now();
+    let mut probes = StallProbes::default();
+    assert!(probes.try_begin(start));
+    assert!(!probes.try_begin(start));
+    probes.end(Some(ms(20)), start + ms(20));
+    assert!((0..50).all(|_| probes.try_begin(start + ms(30))));
+    probes.end(None, start + ms(100));
+    assert!(!probes.try_begin(start + ms(200)), "the target is slow now");
+    assert!(probes.try_begin(start + ms(1_100)));
+}
