--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,11 +7,12 @@
 mod run;
 mod settings;
 
-use {logging::StateLog, mimalloc::MiMalloc, options::Command, std::process::ExitCode};
+use {logging::StateLog, options::Command, std::process::ExitCode, tikv_jemallocator::Jemalloc};
 
-/// Returns unused memory to the system. The allocator of the C library kept the peak of each load for good.
+/// Returns memory to the system when a peak of load is over; the allocator of the C library kept it for good. Its options
+/// stand in `.cargo/config.toml`.
 #[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
+static ALLOCATOR: Jemalloc = Jemalloc;
 
 fn main() -> ExitCode {
     let command = options::command().run();
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -136,6 +136,8 @@
         self.spawn_until_close(async move { follow_target(&gate).await });
         let admission = Arc::clone(&self.gate.admission);
         self.spawn_until_close(async move { admission.run_queue_timer().await });
+        let pool = Arc::clone(&self.gate.pool);
+        self.spawn_until_close(async move { pool.evict_idle().await });
         let crashes = Arc::clone(&self.gate.crashes);
         self.spawn_until_close(async move { crashes.probe_crashed_target().await });
     }
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -3,31 +3,27 @@
 use {
     super::{
         ResponseBody,
+        detected_stream::{DetectedStream, Protocol},
         peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     },
     crate::error::{NodeError, NodeResult, report},
-    futures::FutureExt,
-    http::{Request, Response, Version},
-    hyper::{body::Incoming, rt::Executor, service::service_fn},
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        server::conn::auto,
+    futures::{FutureExt, future::BoxFuture},
+    http::{Request, Response},
+    hyper::{
+        body::Incoming,
+        rt::Executor,
+        server::conn::{http1, http2},
+        service::{HttpService, service_fn},
     },
+    hyper_util::rt::{TokioIo, TokioTimer},
     jujubeline_core::{Peer, Step},
     std::{
-        convert::Infallible,
-        future::Future,
-        net::SocketAddr,
-        pin::pin,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
-        time::Duration,
+        convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
+        time::timeout,
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -44,6 +40,9 @@
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Future of one request. The server keeps room for it for as long as the connection is open, so it is boxed.
+type Served = BoxFuture<'static, Result<Response<ResponseBody>, Infallible>>;
+
 /// Executor that spawns the tasks of HTTP/2 streams on a tracker, so that the node can wait for them.
 #[derive(Debug, Clone)]
 pub struct TrackedExecutor(pub TaskTracker);
@@ -167,6 +166,7 @@
     }
 }
 
+/// Serves one connection until it ends or the stop signals close it.
 async fn serve_connection<S, F>(
     stream: TcpStream,
     kind: ListenerKind,
@@ -180,52 +180,87 @@
 {
     // Without this option, small writes wait for acknowledgements. The connection also works if it cannot be set.
     let _ = stream.set_nodelay(true);
-    let is_http2 = Arc::new(AtomicBool::new(kind == ListenerKind::Http2));
-    let seen_http2 = Arc::clone(&is_http2);
-    // The server keeps room for the future of the service for as long as the connection is open, so the future is boxed.
-    let service = service_fn(move |request: Request<Incoming>| {
-        if request.version() == Version::HTTP_2 {
-            seen_http2.store(true, Ordering::Relaxed);
-        }
-        serve(peer, request).map(Ok::<_, Infallible>).boxed()
+    let service = service_fn(move |request: Request<Incoming>| -> Served {
+        serve(peer, request).map(Ok).boxed()
     });
-    let builder = connection_builder(kind, tasks);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    if kind == ListenerKind::Http2 {
+        let connection = http2_builder(tasks).serve_connection(TokioIo::new(stream), service);
+        serve_http2(connection, &signals).await;
+        return;
+    }
+    let detected = tokio::select! {
+        detected = timeout(HEAD_TIMEOUT, DetectedStream::detect(stream)) => detected,
+        () = signals.close.cancelled() => return,
+    };
+    let Ok(Ok((stream, protocol))) = detected else {
+        return;
+    };
+    match protocol {
+        Protocol::Http1 => {
+            let connection = http1_builder().serve_connection(TokioIo::new(stream), service);
+            serve_http1(connection, &signals).await;
+        }
+        Protocol::Http2 => {
+            let connection = http2_builder(tasks).serve_connection(TokioIo::new(stream), service);
+            Box::pin(serve_http2(connection, &signals)).await;
+        }
+    }
+}
+
+/// An idle connection is not closed while the node drains, because a request may already be on its way and would be cut
+/// off. That request gets a refusal with `connection: close`.
+async fn serve_http1<T, S>(connection: http1::Connection<T, S>, signals: &StopSignals)
+where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin,
+    S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible, Future = Served>,
+{
+    let mut connection = pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = signals.drain.cancelled() => {}
+        () = signals.close.cancelled() => {}
     }
-    // An idle HTTP/1.1 connection is not closed yet, because a request may already be on its way and would be cut off.
-    // That request gets a refusal with `connection: close`. With HTTP/2, GOAWAY states which requests were accepted.
-    if is_http2.load(Ordering::Relaxed) {
-        connection.as_mut().graceful_shutdown();
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        _ = connection => {}
+        () = signals.cut.cancelled() => {}
     }
+}
+
+/// When the node drains, GOAWAY states which requests were accepted.
+async fn serve_http2<T, S>(
+    connection: http2::Connection<T, S, TrackedExecutor>,
+    signals: &StopSignals,
+) where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin,
+    S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible, Future = Served>,
+{
+    let mut connection = pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = signals.close.cancelled() => {}
+        () = signals.drain.cancelled() => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
-        _ = connection.as_mut() => {}
+        _ = connection => {}
         () = signals.cut.cancelled() => {}
     }
 }
 
-fn connection_builder(kind: ListenerKind, tasks: TaskTracker) -> auto::Builder<TrackedExecutor> {
-    let mut builder = auto::Builder::new(TrackedExecutor(tasks));
+fn http1_builder() -> http1::Builder {
+    let mut builder = http1::Builder::new();
     builder
-        .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT);
     builder
-        .http2()
+}
+
+fn http2_builder(tasks: TaskTracker) -> http2::Builder<TrackedExecutor> {
+    let mut builder = http2::Builder::new(TrackedExecutor(tasks));
+    builder
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
-    match kind {
-        ListenerKind::Any => builder,
-        ListenerKind::Http2 => builder.http2_only(),
-    }
+    builder
 }
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -11,6 +11,7 @@
 mod context;
 mod crash_watch;
 mod data_path;
+mod detected_stream;
 mod entry;
 mod fingerprint;
 mod forward_headers;
--- a/crates/node/src/data/target_pool.rs
+++ b/crates/node/src/data/target_pool.rs
@@ -15,7 +15,7 @@
         net::TcpStream,
         sync::{OwnedSemaphorePermit, Semaphore, TryAcquireError},
         task::AbortHandle,
-        time::timeout_at,
+        time::{sleep, timeout_at},
     },
     tokio_util::task::TaskTracker,
 };
@@ -157,7 +157,9 @@
     /// Takes the most recently used connection that is ready, so that surplus connections age and are evicted.
     fn take_ready(&self, max_idle: Option<Duration>) -> Option<Connection> {
         let mut state = self.state.lock();
-        state.idle.retain(Connection::is_worth_keeping);
+        state
+            .idle
+            .retain(|connection| !connection.sender.is_closed());
         let position = state.idle.iter().rposition(|connection| {
             connection.sender.is_ready()
                 && max_idle.is_none_or(|max_idle| connection.idle_since.elapsed() <= max_idle)
@@ -223,6 +225,14 @@
         })
     }
 
+    /// Closes connections that have been idle for long, until the future is dropped.
+    pub async fn evict_idle(&self) {
+        loop {
+            sleep(MAX_IDLE / 2).await;
+            self.state.lock().idle.retain(Connection::is_worth_keeping);
+        }
+    }
+
     /// Closes idle connections and refuses new leases. Leased connections are closed when they are returned.
     pub fn close(&self) {
         self.retarget(None, 0);
