--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -15,6 +15,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -499,6 +500,7 @@
     """Runs a case, which returns whether the rule was broken, and exits with 1, 0 or 2."""
     rig = None
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         rig = Rig(folder)
         broken = case(rig)
@@ -508,6 +510,8 @@
         print(f"cannot run: {why}", file=sys.stderr)
         if rig:
             rig.record.write(f"cannot run: {why}")
+    except Exception:  # An error of the script says nothing about the rule.
+        traceback.print_exc()
     finally:
         if rig:
             rig.close()
