--- a/review/3/case.py
+++ b/review/3/case.py
@@ -50,8 +50,10 @@
         time.sleep(0.5)
         leaving.start_node()
         restarted = time.monotonic()
-    time.sleep(CONTACT_S + 1.0)
-    server.notify("heartbeat", late_heartbeat)
+        until(leaving.is_ready, 2, "the node that was started again is not ready")
+    time.sleep(max(0, restarted + CONTACT_S + 1.0 - time.monotonic()))
+    if not server.notify("heartbeat", late_heartbeat):
+        raise CannotRun("the late heartbeat got no ack")
     rig.record.write(f"the late heartbeat took {time.monotonic() - late_sent:.1f} s")
     time.sleep(3)
     ended = time.monotonic()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,13 +18,15 @@
     rig.start_store()
     entry = rig.machine("sidecar-a-1", "jm-south-a", "schedules")
     machine = rig.machine("sidecar-b-1", "jm-south-b", "billing")
-    other = rig.machine("sidecar-c-1", "jm-south-c", "billing")
+    # Seven servers of the service, so that one that crashes is no more than the share of `srv_crash` (0.15).
+    others = [rig.machine(f"sidecar-{zone}-{number}", f"jm-south-{zone}", "billing")
+              for zone in "bc" for number in (2, 3, 4)]
     invoice = route("invoice-raise", "billing", "unsafe", priority=0)
     rig.put_config(7, [invoice], ["schedules", "billing"])
-    for one in (entry, machine, other):
+    for one in [entry, machine, *others]:
         one.start_node()
-    until(lambda: all(one.is_ready() for one in (entry, machine, other)), 15, "the nodes are not ready")
-    servers = [Server(one, f"i-{one.name}") for one in (entry, other)]
+    until(lambda: all(one.is_ready() for one in [entry, machine, *others]), 15, "the nodes are not ready")
+    servers = [Server(one, f"i-{one.name}") for one in [entry, *others]]
     # The time of day of this machine is ahead when its server starts, and jumps back before the server starts again.
     ahead_ms = STEP_MS if TROUBLE else 0
     rig.record.write(f"the time of day at {machine.name} is {ahead_ms} ms ahead")
@@ -39,7 +41,7 @@
     second.start_heartbeats()
     rig.record.write(f"{second.instance}: starts again under its id, born {second.born}")
     time.sleep(CONTACT_S + 2)
-    load = Load(rig, entry, invoice, "POST", clients=4, body=b"x" * 4000)
+    load = Load(rig, entry, invoice, "POST", clients=12, body=b"x" * 4000)
     time.sleep(3)
     if not second.runs:
         raise CannotRun("the server that started again got no request")
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -32,18 +33,19 @@
 
 
 def free_address(ip="127.0.0.1"):
-    """An address with a port that is free for TCP and UDP."""
-    for _ in range(100):
+    """An address with a port that is free for TCP and UDP, below the ports of outgoing connections."""
+    for _ in range(1000):
+        port = random.randrange(15_000, 32_000)
+        if port in free_address.given:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((ip, port))
                 udp.bind((ip, port))
             except OSError:
                 continue
-        if port not in free_address.given:
-            free_address.given.add(port)
-            return f"{ip}:{port}"
+        free_address.given.add(port)
+        return f"{ip}:{port}"
     raise CannotRun("no free port")
 
 
@@ -496,24 +498,34 @@
             "service": service}
 
 
+# A script ends itself, and all that it started, after this time.
+MAX_RUN_S = 110
+
+
 def main(folder, case):
     """Runs a case, which returns whether the rule was broken, and exits with 1, 0 or 2."""
-    rig = None
+    rig = Rig(folder)
+
+    def give_up(*_):
+        rig.close()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, give_up)
+    watchdog = threading.Timer(MAX_RUN_S, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     code = 2
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        rig = Rig(folder)
         broken = case(rig)
         rig.record.write("the rule was broken" if broken else "the rule held")
         code = 1 if broken else 0
     except CannotRun as why:
         print(f"cannot run: {why}", file=sys.stderr)
-        if rig:
-            rig.record.write(f"cannot run: {why}")
-    except Exception:  # An error of the script says nothing about the rule.
+        rig.record.write(f"cannot run: {why}")
+    except BaseException:  # An error of the script says nothing about the rule.
         traceback.print_exc()
     finally:
-        if rig:
-            rig.close()
-    sys.stdout.flush()
-    os._exit(code)
+        rig.close()
+        sys.stdout.flush()
+        os._exit(code)
