Confirm the process of a heartbeat by the target's health check

Cause: the record of a leaving ends with the node's process. A node that was killed after the acknowledgement and started again took a heartbeat that had been sent before the leave call, and arrived 5 s late, for true. The log of the restarted node says "target is ready" at the arrival of that heartbeat and not before, which rules out that other nodes forgot the leaving when the node came back.

Change: a process that says it is ready is recorded only after the target's health check, sent after the notice arrived, has confirmed it. A notice that a process leaves binds at once, whatever its number. Counters jujubeline_target_notices{effect} and jujubeline_target_confirmations{result}. A target that is well but fails its health check is recorded after 20 s of heartbeats.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,8 @@
 
 pub use {
     stored_quarantine::{MAX_STORED_QUARANTINES, StoredQuarantine},
-    target_record::{NoticeEffect, OwnTarget, Process, TargetRecord},
+    target_record::{
+        HealthAnswer, HealthQuestion, NoticeEffect, OwnTarget, Process, ProcessStart, TargetRecord,
+    },
     target_reports::{TargetReport, TargetReports},
 };
--- a/crates/coordination/src/target_record.rs
+++ b/crates/coordination/src/target_record.rs
@@ -2,12 +2,22 @@
 
 use {
     jujubeline_core::{AnnouncedState, Heartbeat, ProcessId, ServiceName, TargetNotice},
-    std::{collections::VecDeque, net::SocketAddr, time::Duration},
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
-/// Bound on the kept leave notices of processes without a heartbeat. A node that has just started usually receives one;
-/// more arrive only where processes start and leave within one heartbeat interval.
-const MAX_EARLY_LEAVES: usize = 8;
+/// Bound on the kept leavings and on the kept former processes.
+const MAX_KEPT_PROCESSES: usize = 8;
+
+/// Time after the last heartbeat of a candidate after which it is dropped: a process that lives sends several meanwhile.
+const CANDIDATE_RETENTION: Duration = Duration::from_secs(15);
+
+/// Time for which a candidate must keep sending heartbeats to be recorded although no health check confirms it. It must
+/// be longer than a delayed heartbeat is on its way and than a leaving process serves on.
+const UNCONFIRMED_SPAN: Duration = Duration::from_secs(20);
 
 /// The target that belongs to a node, from the node's settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,13 +36,69 @@
         /// Whether the notice comes from a process that was not recorded before.
         new_process: bool,
     },
-    /// The notice did not change the recorded process: the same or a later notice or a later process is recorded, or a
-    /// leave notice names a process that is not recorded. Such a leave notice is kept for a heartbeat that may follow.
+    /// The notice comes from another process than the recorded one. A health check has to show which one is running.
+    Unconfirmed,
+    /// The process is not recorded. It is kept as leaving, so that no later notice makes it ready.
+    Kept,
+    /// The notice states nothing new: the same or a later one of its process arrived before.
     Outdated,
     /// The notice names another service or address than the target beside this node.
     Foreign,
 }
 
+impl NoticeEffect {
+    /// All effects.
+    pub const ALL: [Self; 6] = [
+        Self::Taken { new_process: true },
+        Self::Taken { new_process: false },
+        Self::Unconfirmed,
+        Self::Kept,
+        Self::Outdated,
+        Self::Foreign,
+    ];
+
+    /// Label in metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Taken { new_process: true } => "new_process",
+            Self::Taken { new_process: false } => "taken",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Kept => "kept",
+            Self::Outdated => "outdated",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
+/// A process of a target: its id and its start, which tells it from others that have the same id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProcessStart {
+    /// Id of the process.
+    pub id: ProcessId,
+    /// Start of the process in milliseconds since the Unix epoch, if it is known.
+    pub born_ms: Option<u64>,
+}
+
+/// Question to a health check: whether a process that sent a notice is the one that runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthQuestion {
+    /// The process.
+    pub process: ProcessStart,
+    /// Time of the first notice that raised the question. A later notice may raise it anew, after which an answer to the
+    /// earlier question is too old.
+    since: Instant,
+}
+
+/// What a health check of the target showed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// Process that answered, if the answer names it.
+    pub process: Option<ProcessId>,
+    /// Whether the process is healthy and not leaving.
+    pub is_healthy: bool,
+}
+
 /// State of the target's process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Process {
@@ -47,24 +113,29 @@
     sequence: u64,
 }
 
-/// The last known process of a target.
+/// The process of a target that receives its work.
 ///
-/// Notices can be delayed by a partition and arrive after their sender has ended and another process has started at the
-/// same address, so they are ordered by the start of the process and the number of the notice, not by their arrival.
+/// Notices can be delayed by a partition and arrive after their sender has left or ended, also at a node that started
+/// meanwhile. Within a process they are ordered by their number. Between processes no notice shows an order, so a
+/// process counts as ready only after the target's own health check has confirmed it. A notice that a process leaves
+/// takes effect at once.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetRecord {
     process: Option<Process>,
-    /// Processes whose leave notice arrived before any heartbeat. A delayed heartbeat may still follow, also at a node
-    /// that started after the earlier heartbeats were sent.
-    early_leaves: VecDeque<EarlyLeave>,
+    /// Process that sent a notice and may have replaced the recorded one.
+    candidate: Option<Candidate>,
+    /// Processes that announced that they leave, oldest first.
+    leavings: VecDeque<ProcessStart>,
+    /// Processes that were recorded before, oldest first, each with the number of its last heartbeat.
+    former: VecDeque<(ProcessStart, u64)>,
 }
 
-/// A process that left before a heartbeat of it arrived.
+/// A process that is not confirmed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct EarlyLeave {
-    process: ProcessId,
-    /// Start of the process. If the leave notice did not state it, it is set from the first heartbeat with this id.
-    born_ms: Option<u64>,
+struct Candidate {
+    process: Process,
+    first_heard: Instant,
+    last_heard: Instant,
 }
 
 impl Process {
@@ -73,17 +144,47 @@
     pub const fn born_ms(&self) -> Option<u64> {
         self.born_ms
     }
+
+    fn of_heartbeat(heartbeat: &Heartbeat) -> Self {
+        Self {
+            id: heartbeat.process.clone(),
+            slots: heartbeat.slots,
+            state: heartbeat.state,
+            born_ms: Some(heartbeat.born_ms),
+            sequence: heartbeat.sequence,
+        }
+    }
+
+    fn start(&self) -> ProcessStart {
+        ProcessStart {
+            id: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.state == AnnouncedState::Draining
+    }
 }
 
-impl EarlyLeave {
-    fn is_of(&self, process: &ProcessId, born_ms: Option<u64>) -> bool {
-        self.process == *process && is_same_start(self.born_ms, born_ms)
+impl Candidate {
+    fn question(&self) -> HealthQuestion {
+        HealthQuestion {
+            process: self.process.start(),
+            since: self.first_heard,
+        }
     }
 }
 
-/// Whether two statements of a start can mean the same start. An unknown start equals any.
-fn is_same_start(one: Option<u64>, other: Option<u64>) -> bool {
-    one.zip(other).is_none_or(|(one, other)| one == other)
+impl ProcessStart {
+    /// Whether both can be the same process. An unknown start equals any.
+    fn may_be(&self, other: &Self) -> bool {
+        let is_same_start = match (self.born_ms, other.born_ms) {
+            (Some(one), Some(other)) => one == other,
+            (None, _) | (_, None) => true,
+        };
+        is_same_start && self.id == other.id
+    }
 }
 
 impl TargetRecord {
@@ -93,64 +194,79 @@
         self.process.as_ref()
     }
 
+    /// The process that a health check has to confirm.
+    pub fn unconfirmed(&mut self, now: Instant) -> Option<HealthQuestion> {
+        self.candidate
+            .take_if(|known| now.saturating_duration_since(known.last_heard) > CANDIDATE_RETENTION);
+        self.candidate.as_ref().map(Candidate::question)
+    }
+
     /// Applies a notice of the target.
-    pub fn apply_notice(&mut self, notice: &TargetNotice, own: &OwnTarget) -> NoticeEffect {
+    pub fn apply_notice(
+        &mut self,
+        notice: &TargetNotice,
+        own: &OwnTarget,
+        now: Instant,
+    ) -> NoticeEffect {
         match notice {
-            TargetNotice::Heartbeat(heartbeat) => self.apply_heartbeat(heartbeat, own),
-            TargetNotice::Leave { process, born_ms } => self.apply_leave(process, *born_ms),
+            TargetNotice::Heartbeat(heartbeat) => {
+                if heartbeat.service != own.service || heartbeat.address != own.address {
+                    return NoticeEffect::Foreign;
+                }
+                self.apply_heartbeat(heartbeat, now)
+            }
+            TargetNotice::Leave { process, born_ms } => {
+                let start = ProcessStart {
+                    id: process.clone(),
+                    born_ms: *born_ms,
+                };
+                self.apply_leaving(&start, None, now)
+            }
         }
     }
 
-    fn apply_heartbeat(&mut self, heartbeat: &Heartbeat, own: &OwnTarget) -> NoticeEffect {
-        if heartbeat.service != own.service || heartbeat.address != own.address {
-            return NoticeEffect::Foreign;
-        }
-        let known = self.process.as_ref();
-        let is_known = known.is_some_and(|known| {
-            let is_same_start = known
-                .born_ms
-                .is_none_or(|born_ms| born_ms == heartbeat.born_ms);
-            is_same_start && known.id == heartbeat.process
-        });
-        let is_outdated = known.is_some_and(|known| {
-            let is_numbered = is_known && known.born_ms.is_some();
-            known.born_ms > Some(heartbeat.born_ms)
-                || (is_numbered && known.sequence >= heartbeat.sequence)
-        });
-        if is_outdated {
-            return NoticeEffect::Outdated;
-        }
-        let is_draining =
-            is_known && known.is_some_and(|known| known.state == AnnouncedState::Draining);
-        let keeps_draining = is_draining || self.has_left(heartbeat);
-        self.process = Some(Process {
-            id: heartbeat.process.clone(),
-            slots: heartbeat.slots,
-            state: if keeps_draining {
-                AnnouncedState::Draining
-            } else {
-                heartbeat.state
-            },
-            born_ms: Some(heartbeat.born_ms),
-            sequence: heartbeat.sequence,
-        });
-        NoticeEffect::Taken {
-            new_process: !is_known,
+    /// Applies the answer to a health check that was sent after `asked` was raised. Returns the effect if the answer shows
+    /// that the process is the one that runs.
+    pub fn apply_health_answer(
+        &mut self,
+        asked: &HealthQuestion,
+        answer: &HealthAnswer,
+    ) -> Option<NoticeEffect> {
+        let candidate = self.candidate.as_ref()?;
+        if candidate.question() != *asked {
+            return None;
         }
+        let named = answer.process.as_ref();
+        let names_asked = named.map(|named| *named == asked.process.id);
+        let is_confirmed = match names_asked {
+            Some(false) => {
+                self.candidate = None;
+                return None;
+            }
+            // A leaving process fails its health check.
+            Some(true) if candidate.process.is_leaving() => true,
+            _ => answer.is_healthy && !candidate.process.is_leaving(),
+        };
+        is_confirmed.then(|| self.record_candidate()).flatten()
     }
 
     /// Records a process that answered that it is healthy, if no process is recorded yet and this one has not left.
     /// Returns whether it was recorded.
     pub fn record_healthy_process(&mut self, process: &ProcessId, slots: u32) -> bool {
-        let has_left = self
-            .early_leaves
-            .iter()
-            .any(|leave| leave.process == *process);
-        if self.process.is_some() || has_left {
+        let start = ProcessStart {
+            id: process.clone(),
+            born_ms: None,
+        };
+        if self.process.is_some() || self.has_left(&start) {
             return false;
         }
+        let answered = |other: &mut Candidate| other.process.id == *process;
+        if let Some(candidate) = self.candidate.take_if(answered) {
+            self.process = Some(candidate.process);
+            return true;
+        }
         self.process = Some(Process {
-            id: process.clone(),
+            id: start.id,
             slots,
             state: AnnouncedState::Ready(Duration::ZERO),
             born_ms: None,
@@ -162,42 +278,209 @@
     /// Whether a process is known to be leaving.
     #[must_use]
     pub fn is_leaving(&self, process: &ProcessId, born_ms: Option<u64>) -> bool {
-        let known = self.process.as_ref().filter(|known| {
-            known.id == *process
-                && is_same_start(known.born_ms, born_ms)
-                && known.state == AnnouncedState::Draining
+        let start = ProcessStart {
+            id: process.clone(),
+            born_ms,
+        };
+        self.has_left(&start)
+    }
+
+    fn apply_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> NoticeEffect {
+        let start = ProcessStart {
+            id: heartbeat.process.clone(),
+            born_ms: Some(heartbeat.born_ms),
+        };
+        if heartbeat.state == AnnouncedState::Draining {
+            return self.apply_leaving(&start, Some(heartbeat), now);
+        }
+        let has_left = self.has_left(&start);
+        if has_left {
+            self.name_start_of_leaving(&start);
+        }
+        if let Some(known) = self.recorded(&start) {
+            if known.born_ms.is_some() && known.sequence >= heartbeat.sequence {
+                return NoticeEffect::Outdated;
+            }
+            let keeps_leaving = has_left || known.is_leaving();
+            *known = Process::of_heartbeat(heartbeat);
+            if keeps_leaving {
+                known.state = AnnouncedState::Draining;
+            }
+            return NoticeEffect::Taken { new_process: false };
+        }
+        if self.is_outdated(&start, heartbeat.sequence) || self.is_before_recorded(&start) {
+            return NoticeEffect::Outdated;
+        }
+        let mut process = Process::of_heartbeat(heartbeat);
+        if has_left {
+            process.state = AnnouncedState::Draining;
+            if self.process.is_none() {
+                return self.record(process);
+            }
+        }
+        self.hear_candidate(process, now);
+        let is_heard_long = self.candidate.as_ref().is_some_and(|candidate| {
+            now.saturating_duration_since(candidate.first_heard) >= UNCONFIRMED_SPAN
         });
-        let mut early_leaves = self.early_leaves.iter();
-        known.is_some() || early_leaves.any(|leave| leave.is_of(process, born_ms))
+        if is_heard_long {
+            self.record_candidate().unwrap_or(NoticeEffect::Unconfirmed)
+        } else {
+            NoticeEffect::Unconfirmed
+        }
     }
 
-    /// Whether the process of a heartbeat left before any heartbeat of it arrived.
-    fn has_left(&mut self, heartbeat: &Heartbeat) -> bool {
-        let mut same_id = self
-            .early_leaves
-            .iter_mut()
-            .filter(|leave| leave.process == heartbeat.process);
-        same_id.any(|leave| *leave.born_ms.get_or_insert(heartbeat.born_ms) == heartbeat.born_ms)
+    /// Marks a process as leaving: it receives no new work but may finish what it has. A leaving process never becomes
+    /// ready again, so this holds whatever the order of notices.
+    fn apply_leaving(
+        &mut self,
+        start: &ProcessStart,
+        heartbeat: Option<&Heartbeat>,
+        now: Instant,
+    ) -> NoticeEffect {
+        self.keep_leaving(start);
+        if let Some(known) = self.recorded(start) {
+            let was_leaving = known.is_leaving();
+            known.born_ms = known.born_ms.or(start.born_ms);
+            known.state = AnnouncedState::Draining;
+            let is_later = heartbeat.is_some_and(|heartbeat| heartbeat.sequence > known.sequence);
+            if let Some(heartbeat) = heartbeat.filter(|_| is_later) {
+                (known.slots, known.sequence) = (heartbeat.slots, heartbeat.sequence);
+            }
+            self.candidate.take_if(|other| other.process.id == start.id);
+            return if was_leaving && heartbeat.is_some() && !is_later {
+                NoticeEffect::Outdated
+            } else {
+                NoticeEffect::Taken { new_process: false }
+            };
+        }
+        let leaving = heartbeat.map(|heartbeat| Process {
+            state: AnnouncedState::Draining,
+            ..Process::of_heartbeat(heartbeat)
+        });
+        let Some(known) = &self.process else {
+            self.candidate.take_if(|other| other.process.id == start.id);
+            return leaving.map_or(NoticeEffect::Kept, |leaving| self.record(leaving));
+        };
+        if self.is_before_recorded(start) {
+            return NoticeEffect::Kept;
+        }
+        if known.id == start.id {
+            return self.suspend_recorded(start, leaving, now);
+        }
+        match leaving {
+            Some(leaving) if !self.is_outdated(start, leaving.sequence) => {
+                self.hear_candidate(leaving, now);
+                NoticeEffect::Unconfirmed
+            }
+            _ => {
+                self.candidate
+                    .take_if(|other| other.process.start().may_be(start));
+                NoticeEffect::Kept
+            }
+        }
     }
 
-    /// Marks a leaving process as draining: it receives no new work but may finish what it has.
-    fn apply_leave(&mut self, process: &ProcessId, born_ms: Option<u64>) -> NoticeEffect {
-        let known = self
-            .process
+    /// Takes the recorded process for leaving because another one with its id leaves: requests for the two cannot be
+    /// told apart. A health check shows whether the recorded process is the one that runs.
+    fn suspend_recorded(
+        &mut self,
+        leaving: &ProcessStart,
+        heartbeat: Option<Process>,
+        now: Instant,
+    ) -> NoticeEffect {
+        self.candidate = None;
+        let Some(recorded) = self.process.take_if(|known| !known.is_leaving()) else {
+            return NoticeEffect::Kept;
+        };
+        self.process = Some(heartbeat.unwrap_or_else(|| Process {
+            id: leaving.id.clone(),
+            slots: recorded.slots,
+            state: AnnouncedState::Draining,
+            born_ms: leaving.born_ms,
+            sequence: 0,
+        }));
+        self.hear_candidate(recorded, now);
+        NoticeEffect::Taken { new_process: false }
+    }
+
+    /// The recorded process, if it may be the one that started so.
+    fn recorded(&mut self, start: &ProcessStart) -> Option<&mut Process> {
+        self.process
             .as_mut()
-            .filter(|known| known.id == *process && is_same_start(known.born_ms, born_ms));
-        let Some(known) = known else {
-            self.early_leaves.push_back(EarlyLeave {
-                process: process.clone(),
-                born_ms,
-            });
-            if self.early_leaves.len() > MAX_EARLY_LEAVES {
-                self.early_leaves.pop_front();
+            .filter(|known| known.start().may_be(start))
+    }
+
+    /// Whether a heartbeat of a process that is not recorded has the number of an earlier one.
+    fn is_outdated(&self, start: &ProcessStart, sequence: u64) -> bool {
+        let candidate = self.candidate.iter();
+        let heard = candidate.map(|known| (known.process.start(), known.process.sequence));
+        let mut known = heard.chain(self.former.iter().cloned());
+        known.any(|(known, last)| known == *start && last >= sequence)
+    }
+
+    /// Whether a process started before the recorded one.
+    fn is_before_recorded(&self, start: &ProcessStart) -> bool {
+        let known = self.process.as_ref();
+        known.is_some_and(|known| start.born_ms.is_some() && known.born_ms > start.born_ms)
+    }
+
+    fn hear_candidate(&mut self, process: Process, now: Instant) {
+        let known = self.candidate.take();
+        let first_heard = known
+            .filter(|known| known.process.start() == process.start())
+            .map_or(now, |known| known.first_heard);
+        self.candidate = Some(Candidate {
+            process,
+            first_heard,
+            last_heard: now,
+        });
+    }
+
+    fn record_candidate(&mut self) -> Option<NoticeEffect> {
+        let candidate = self.candidate.take()?;
+        Some(self.record(candidate.process))
+    }
+
+    fn record(&mut self, process: Process) -> NoticeEffect {
+        if let Some(replaced) = self.process.replace(process) {
+            self.former.retain(|(start, _)| *start != replaced.start());
+            self.former.push_back((replaced.start(), replaced.sequence));
+            if self.former.len() > MAX_KEPT_PROCESSES {
+                self.former.pop_front();
             }
-            return NoticeEffect::Outdated;
+        }
+        NoticeEffect::Taken { new_process: true }
+    }
+
+    fn has_left(&self, start: &ProcessStart) -> bool {
+        self.leavings.iter().any(|leaving| leaving.may_be(start))
+    }
+
+    /// Keeps that a process leaves. A notice may not state the start of the process; then that of the recorded one holds.
+    fn keep_leaving(&mut self, start: &ProcessStart) {
+        let known = self.recorded(start).and_then(|known| known.born_ms);
+        let start = ProcessStart {
+            id: start.id.clone(),
+            born_ms: start.born_ms.or(known),
         };
-        known.born_ms = known.born_ms.or(born_ms);
-        known.state = AnnouncedState::Draining;
-        NoticeEffect::Taken { new_process: false }
+        self.name_start_of_leaving(&start);
+        if self.leavings.contains(&start) {
+            return;
+        }
+        self.leavings.push_back(start);
+        if self.leavings.len() > MAX_KEPT_PROCESSES {
+            self.leavings.pop_front();
+        }
+    }
+
+    /// Sets the start of a leaving process that was kept without one.
+    fn name_start_of_leaving(&mut self, start: &ProcessStart) {
+        let unnamed = self
+            .leavings
+            .iter_mut()
+            .find(|leaving| leaving.id == start.id && leaving.born_ms.is_none());
+        if let Some(leaving) = unnamed {
+            leaving.born_ms = start.born_ms;
+        }
     }
 }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -254,7 +254,7 @@
 
 impl Fixture {
     fn start() -> Self {
-        Self::start_with(false)
+        Self::start_with(true)
     }
 
     /// Starts a daemon whose target passes or fails its health checks.
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod target_fleet;
+
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
--- /dev/null
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -0,0 +1,291 @@
+//! An entry node, and a gate with a target whose statements, health and notices a test chooses.
+
+use {
+    super::{RunningDaemon, exchange, get, start},
+    jujubeline_standin::platform::PlatformStandin,
+    serde_json::json,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{Arc, Mutex},
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::runtime::Runtime,
+};
+
+/// Timeout for a state that the daemons must reach.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// States in heartbeats.
+pub const READY: &str = "ready";
+pub const DRAINING: &str = "draining";
+const WORK: Duration = Duration::from_millis(200);
+
+/// A target that adds the same headers to each response and records the arrivals.
+pub struct Target {
+    pub address: SocketAddr,
+    headers: Arc<Mutex<String>>,
+    health: Arc<Mutex<String>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl Target {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (headers, arrivals) = (Arc::<Mutex<String>>::default(), Arc::default());
+        // The health check does not name the process at first, so that only heartbeats do.
+        let health = Arc::new(Mutex::new(health_answer("200 OK", "")));
+        let target = Self {
+            address,
+            headers: Arc::clone(&headers),
+            health: Arc::clone(&health),
+            arrivals: Arc::clone(&arrivals),
+        };
+        // The thread is not joined; it ends with the test process.
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (headers, health) = (Arc::clone(&headers), Arc::clone(&health));
+                let arrivals = Arc::clone(&arrivals);
+                thread::spawn(move || serve(stream, &headers, &health, &arrivals));
+            }
+        });
+        target
+    }
+
+    /// Adds a header to each response.
+    pub fn state_in_responses(&self, header: &str) {
+        *self.headers.lock().unwrap() = format!("{header}\r\n");
+    }
+
+    /// Names the process in answers to the health check, which says whether it is healthy.
+    pub fn answer_health_checks(&self, process: &str, is_healthy: bool) {
+        let status = if is_healthy {
+            "200 OK"
+        } else {
+            "503 Service Unavailable"
+        };
+        let header = format!("x-jujubeline-instance-id: {process}\r\n");
+        *self.health.lock().unwrap() = health_answer(status, &header);
+    }
+
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+}
+
+fn health_answer(status: &str, header: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{header}content-length: 0\r\n\r\n")
+}
+
+fn serve(
+    mut stream: TcpStream,
+    headers: &Mutex<String>,
+    health: &Mutex<String>,
+    arrivals: &Mutex<Vec<Instant>>,
+) {
+    let mut buffer = Vec::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        let end = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        let Some(end) = end else {
+            match stream.read(&mut chunk) {
+                Ok(0) | Err(_) => return,
+                Ok(count) => buffer.extend_from_slice(&chunk[..count]),
+            }
+            continue;
+        };
+        let head = String::from_utf8(buffer.drain(..end + 4).collect()).unwrap();
+        if head.starts_with("GET /health") {
+            let answer = health.lock().unwrap().clone();
+            let _ = stream.write_all(answer.as_bytes());
+            return;
+        }
+        arrivals.lock().unwrap().push(Instant::now());
+        let id = head
+            .lines()
+            .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
+            .unwrap_or_default()
+            .to_owned();
+        thread::sleep(WORK);
+        let stated = headers.lock().unwrap().clone();
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nx-jujubeline-attempt-id: {id}\r\n{stated}content-length: 0\r\n\r\n"
+        );
+        if stream.write_all(response.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// An entry node, a gate with its target, and the object store.
+pub struct Fleet {
+    pub edge: RunningDaemon,
+    pub gate: RunningDaemon,
+    pub target: Target,
+    pub store: PlatformStandin,
+    _runtime: Runtime,
+}
+
+impl Fleet {
+    pub fn ready() -> Self {
+        let runtime = Runtime::new().unwrap();
+        let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
+        let target = Target::start();
+        let unused = SocketAddr::from(([127, 0, 0, 1], 9));
+        let edge = launch(&store, "edge", "billing", unused);
+        let gate = launch(&store, "gate", "schedules", target.address);
+        let fleet = Self {
+            edge,
+            gate,
+            target,
+            store,
+            _runtime: runtime,
+        };
+        fleet.write_configuration();
+        fleet.heartbeat("i-1", 10, 1, READY);
+        fleet.wait_until_known();
+        fleet
+    }
+
+    /// Kills the gate and starts it again. The target runs on and sends its next heartbeat.
+    pub fn restart_gate(&mut self) {
+        self.gate.child.kill().unwrap();
+        self.gate.child.wait().unwrap();
+        self.gate = launch(&self.store, "gate", "schedules", self.target.address);
+    }
+
+    fn write_configuration(&self) {
+        let object = json!({"metadata": {"name": "main"}, "spec": {
+            "version": "0000000c",
+            "routes": {
+                "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "service"],
+                "rows": [["r-safe", "a.example", "/safe/", "safe", 5000, 2, 2, "schedules"]],
+            },
+            "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
+        }});
+        let written = post(self.store.address(), "/api/objects/config", &object);
+        assert!(written.contains("200 OK"), "{written}");
+    }
+
+    /// Sends a heartbeat of a process with its start, its number and its state.
+    pub fn heartbeat(&self, process: &str, born_ms: u64, sequence: u64, state: &str) {
+        let heartbeat = json!({
+            "address": self.target.address.to_string(),
+            "born": born_ms,
+            "info": {"service": "schedules", "version": "v1", "zone": "dc1", "slots": 90},
+            "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
+        });
+        self.notify(process, "heartbeat", &heartbeat);
+    }
+
+    /// Sends the leave call of a process.
+    pub fn leave(&self, process: &str, born_ms: u64) {
+        self.notify(process, "leave", &json!({"born": born_ms}));
+    }
+
+    fn notify(&self, process: &str, call: &str, body: &serde_json::Value) {
+        let path = format!("/api/instances/{process}/{call}");
+        let answer = post(self.gate.operators, &path, body);
+        assert!(answer.contains("200 OK"), "{answer}");
+    }
+
+    /// Waits until the entry node has the target of the present gate to choose.
+    pub fn wait_until_known(&self) {
+        let until = Instant::now() + WAIT_TIMEOUT;
+        let path = "/explain?host=a.example&method=GET&path=/safe/view";
+        loop {
+            let found = get(self.edge.operators, path);
+            if found.contains(&format!("\"address\":\"{}\"", self.gate.data)) {
+                return;
+            }
+            assert!(Instant::now() < until, "no target is known: {found}");
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    pub fn send(&self) -> String {
+        request(self.edge.callers, "9c41")
+    }
+
+    /// Sends a request to the gate's own entry.
+    pub fn send_to_gate(&self) -> String {
+        request(self.gate.callers, "9c42")
+    }
+
+    /// Waits until the gate that was started again has the configuration.
+    pub fn wait_until_joined(&self) {
+        let until = Instant::now() + WAIT_TIMEOUT;
+        while !get(self.gate.operators, "/api/ready").contains("200 OK") {
+            assert!(Instant::now() < until, "the gate has no configuration");
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Sends requests at the same time, before the target can respond to any of them.
+    pub fn send_at_once(&self, count: usize) {
+        let callers = self.edge.callers;
+        let senders: Vec<_> = (0..count)
+            .map(|number| thread::spawn(move || request(callers, &format!("b{number}"))))
+            .collect();
+        for sender in senders {
+            sender.join().unwrap();
+        }
+    }
+
+    /// Sends a request every 10 ms for `time`, without waiting for the responses.
+    pub fn send_many(&self, time: Duration) {
+        let until = Instant::now() + time;
+        let callers = self.edge.callers;
+        let mut senders = Vec::new();
+        while Instant::now() < until {
+            let id = format!("a{}", senders.len());
+            senders.push(thread::spawn(move || request(callers, &id)));
+            thread::sleep(Duration::from_millis(10));
+        }
+        for sender in senders {
+            sender.join().unwrap();
+        }
+    }
+}
+
+fn launch(store: &PlatformStandin, node: &str, service: &str, target: SocketAddr) -> RunningDaemon {
+    start(&[
+        "--deployment",
+        "platform",
+        "--node",
+        node,
+        "--service",
+        service,
+        "--platform-address",
+        &store.address().to_string(),
+        "--target-address",
+        &target.to_string(),
+        "--retry-share",
+        "0.2",
+        "--retry-slack",
+        "48",
+    ])
+}
+
+fn request(callers: SocketAddr, id: &str) -> String {
+    exchange(
+        callers,
+        &format!(
+            "GET /safe/view HTTP/1.1\r\nhost: a.example\r\nx-jujubeline-attempt-id: {id}\r\n\
+             x-jujubeline-deadline-ms: 3000\r\nconnection: close\r\n\r\n"
+        ),
+    )
+}
+
+fn post(address: SocketAddr, path: &str, body: &serde_json::Value) -> String {
+    let body = body.to_string();
+    let length = body.len();
+    exchange(
+        address,
+        &format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+        ),
+    )
+}
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -6,8 +6,11 @@
         TargetPool, serve_entry_node,
     },
     crate::{
-        LocalTarget, Metrics, NodeSettings, Views, claims::Claims, decisions::DecisionLog,
-        error::NodeResult, target_tracker::TargetTracker,
+        LocalTarget, Metrics, NodeSettings, Views,
+        claims::Claims,
+        decisions::DecisionLog,
+        error::NodeResult,
+        target_tracker::{NoticeCounts, TargetTracker},
     },
     jujubeline_coordination::{OwnTarget, membership::TargetState},
     jujubeline_core::Incarnation,
@@ -18,7 +21,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::watch, time::timeout},
+    tokio::{
+        sync::{Notify, watch},
+        time::timeout,
+    },
     tokio_util::task::TaskTracker,
 };
 
@@ -92,6 +98,8 @@
             crashes: Arc::clone(&crashes),
             admission: Arc::clone(&admission),
             record: parking_lot::Mutex::default(),
+            unconfirmed: Notify::new(),
+            counts: NoticeCounts::default(),
         });
         let gate = Arc::new(Gate {
             stall_probes: parking_lot::Mutex::default(),
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -122,7 +122,7 @@
         context: &ExchangeContext,
     ) -> Result<Response<ResponseBody>, GateRefusal> {
         if let Some(report) = &context.report {
-            self.tracker.adopt(report);
+            self.tracker.adopt(report, Instant::now());
         }
         if let Some(claim) = context.claim {
             return Box::pin(self.serve_at_most_once(head, body, context, claim)).await;
@@ -370,7 +370,7 @@
     fn observe_statement(&self, headers: &HeaderMap, lifetime: &TargetLifetime, sent: Instant) {
         let statement = (self.dialect.read_statement)(headers);
         if statement.is_leaving {
-            self.tracker.process_leaves(lifetime);
+            self.tracker.process_leaves(lifetime, Instant::now());
         }
         let present = self.tracker.lifetime();
         if present.process != lifetime.process || present.born_ms != lifetime.born_ms {
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -6,8 +6,12 @@
         Views,
         control::{Control, DatagramCounts, MembershipHandle, PullCounts},
         error::{NodeError, NodeResult, report},
+        target_tracker::TargetTracker,
+    },
+    jujubeline_coordination::{
+        NoticeEffect,
+        membership::{Counters, Presence, TargetState},
     },
-    jujubeline_coordination::membership::{Counters, Presence, TargetState},
     jujubeline_core::{Class, Peer, RefusalReason, RetryReason, RetryStop, Step},
     jujubeline_platform::PlatformClient,
     opentelemetry::{
@@ -146,6 +150,11 @@
         }
     }
 
+    /// Adds metrics of the notices of the local target.
+    pub fn observe_target(&self, tracker: &Arc<TargetTracker>) {
+        observe_notices(&self.provider.meter("jujubeline"), tracker);
+    }
+
     /// The metrics in the text format of Prometheus.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
@@ -192,6 +201,34 @@
         .build();
 }
 
+fn observe_notices(meter: &Meter, tracker: &Arc<TargetTracker>) {
+    let counted = Arc::clone(tracker);
+    meter
+        .u64_observable_counter("jujubeline_target_notices")
+        .with_description("Notices of the local target by effect.")
+        .with_callback(move |observer| {
+            for effect in NoticeEffect::ALL {
+                let label = [KeyValue::new("effect", effect.label())];
+                observer.observe(counted.counts.notices(effect), &label);
+            }
+        })
+        .build();
+    let counted = Arc::clone(tracker);
+    meter
+        .u64_observable_counter("jujubeline_target_confirmations")
+        .with_description("Health checks that were to confirm the process of a notice, by result.")
+        .with_callback(move |observer| {
+            let results = [
+                ("confirmed", counted.counts.confirmed()),
+                ("not_confirmed", counted.counts.not_confirmed()),
+            ];
+            for (result, count) in results {
+                observer.observe(count, &[KeyValue::new("result", result)]);
+            }
+        })
+        .build();
+}
+
 fn observe_in_flight(meter: &Meter, metrics: Arc<Metrics>) {
     meter
         .i64_observable_gauge("jujubeline_in_flight")
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -144,6 +144,7 @@
             sockets.data,
         )?;
         exporter.observe(&views, observed_values(&data));
+        exporter.observe_target(&data.gate.tracker);
         let operators_address = sockets.operators.local_address()?;
         let operators = Arc::new(OperatorsServer::new(
             settings.clone(),
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -1,7 +1,10 @@
 //! HTTP server at the operators' address.
 
 use {
-    super::{Announcement, Explanation, Status, TargetExplanation, target_probe::probe_target},
+    super::{
+        Announcement, Explanation, Status, TargetExplanation,
+        target_probe::{ProbeResponse, probe_target},
+    },
     crate::{
         LocalTarget, NodeSettings, Views,
         data::{EntryNode, ResponseBody},
@@ -12,10 +15,11 @@
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     jujubeline_catalogue::Entry,
-    jujubeline_coordination::{NoticeEffect, membership::TargetState},
+    jujubeline_coordination::{HealthAnswer, NoticeEffect, membership::TargetState},
     jujubeline_core::Incarnation,
     serde::Serialize,
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -31,6 +35,13 @@
 /// starts together with the node announces itself sooner.
 const PROBE_DELAY: Duration = Duration::from_millis(100);
 
+/// Time between the notice of an unconfirmed process and the health check that is to confirm it, doubled after each
+/// check. Of several notices that arrive together, the last one decides what is asked.
+const FIRST_CONFIRMATION_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest time between two health checks that are to confirm a process.
+const MAX_CONFIRMATION_DELAY: Duration = Duration::from_secs(1);
+
 /// Serves operators and the local target.
 #[derive(Debug)]
 pub struct OperatorsServer {
@@ -234,15 +245,25 @@
         if self.settings.target_address.is_none() {
             return text(StatusCode::NOT_FOUND, "the node has no target");
         }
-        let effect = self.entry.gate.tracker.apply_notice(&notice);
-        if !matches!(effect, NoticeEffect::Taken { .. }) {
-            log::info!("target notice is without effect ({effect:?}): {notice:?}");
+        let effect = self
+            .entry
+            .gate
+            .tracker
+            .apply_notice(&notice, Instant::now());
+        match effect {
+            // The health check that follows logs which process it is about.
+            NoticeEffect::Taken { .. } | NoticeEffect::Unconfirmed => {}
+            NoticeEffect::Kept | NoticeEffect::Outdated | NoticeEffect::Foreign => log::info!(
+                "target notice changes nothing at present ({}): {notice:?}",
+                effect.label()
+            ),
         }
         json(&serde_json::json!({}))
     }
 
-    /// Identifies the target's process by one probe, if no heartbeat names it soon after the start. Otherwise a node
-    /// that was restarted beside a running target would refuse requests for it until the next heartbeat.
+    /// Asks the target's health check which process runs: once if no heartbeat names it soon after the start, so that a
+    /// node that was restarted beside a running target need not wait for the next one, and for each process that sent
+    /// a notice and is not confirmed.
     pub async fn identify_target(self: Arc<Self>) {
         let Some(address) = self.settings.target_address else {
             return;
@@ -251,20 +272,55 @@
             return;
         }
         let mut target = self.views.local_target.subscribe();
-        let described = target.wait_for(|target| target.health_path.is_some()).await;
-        let Some(path) = described.ok().and_then(|target| target.health_path.clone()) else {
+        let described = target.wait_for(|target| target.health_path.is_some());
+        if described.await.is_err() {
             return;
-        };
+        }
         sleep(PROBE_DELAY).await;
         let tracker = &self.entry.gate.tracker;
-        if tracker.knows_process() {
-            return;
+        if !tracker.knows_process()
+            && let Some(answer) = self.check_target(address).await
+            && let Some(process) = answer.process.filter(|_| answer.is_healthy)
+        {
+            let slots = answer.slots.unwrap_or(self.settings.target_slots);
+            tracker.record_healthy_process(&process, slots);
         }
-        let Some(answer) = probe_target(address, &path, &self.settings.dialect).await else {
-            return;
-        };
-        let slots = answer.slots.unwrap_or(self.settings.target_slots);
-        tracker.record_healthy_process(&answer.process, slots);
+        loop {
+            tracker.unconfirmed.notified().await;
+            self.confirm_target(address).await;
+        }
+    }
+
+    /// Repeats the health check until no process is unconfirmed.
+    async fn confirm_target(&self, address: SocketAddr) {
+        let tracker = &self.entry.gate.tracker;
+        let mut delay = FIRST_CONFIRMATION_DELAY;
+        let mut last_asked = None;
+        loop {
+            sleep(delay).await;
+            let Some(asked) = tracker.unconfirmed(Instant::now()) else {
+                return;
+            };
+            if last_asked.as_ref() != Some(&asked) {
+                log::info!(
+                    "process {} of the target is not confirmed; its health check decides",
+                    asked.process.id
+                );
+                last_asked = Some(asked.clone());
+            }
+            let answer = self.check_target(address).await;
+            let answer = answer.map(|answer| HealthAnswer {
+                process: answer.process,
+                is_healthy: answer.is_healthy,
+            });
+            tracker.apply_health_answer(&asked, answer.as_ref());
+            delay = (delay * 2).min(MAX_CONFIRMATION_DELAY);
+        }
+    }
+
+    async fn check_target(&self, address: SocketAddr) -> Option<ProbeResponse> {
+        let path = self.views.local_target.borrow().health_path.clone()?;
+        probe_target(address, &path, &self.settings.dialect).await
     }
 }
 
--- a/crates/node/src/ops/target_probe.rs
+++ b/crates/node/src/ops/target_probe.rs
@@ -11,27 +11,28 @@
     tokio::{net::TcpStream, time::timeout},
 };
 
-/// Timeout of the probe. The next heartbeat carries the same information and comes within a few seconds.
+/// Timeout of the probe. A busy target answers health checks in turn with its requests; the probe is then repeated.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Response of the target's health check.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ProbeResponse {
-    /// Process that answered.
-    pub process: ProcessId,
+    /// Process that answered, if the response names it.
+    pub process: Option<ProcessId>,
+    /// Whether the target is healthy and not leaving.
+    pub is_healthy: bool,
     /// Requests that the target can run at the same time, if the response states them.
     pub slots: Option<u32>,
 }
 
-/// Calls the health check of a target; none when the target does not answer in time, is not healthy or does not name
-/// its process.
+/// Calls the health check of a target; none when the target does not answer in time.
 pub async fn probe_target(
     address: SocketAddr,
     path: &str,
     dialect: &Dialect,
 ) -> Option<ProbeResponse> {
     match timeout(PROBE_TIMEOUT, ask(address, path, dialect)).await {
-        Ok(Ok(answer)) => answer,
+        Ok(Ok(answer)) => Some(answer),
         Ok(Err(error)) => {
             log::debug!("health check of the target at {address} failed: {error}");
             None
@@ -44,7 +45,7 @@
     address: SocketAddr,
     path: &str,
     dialect: &Dialect,
-) -> Result<Option<ProbeResponse>, Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<ProbeResponse, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let request = Request::get(path)
@@ -57,13 +58,13 @@
         let process = dialect
             .probe_process
             .as_ref()
-            .and_then(|name| headers.get(name)?.to_str().ok())
-            .filter(|_| response.status() == StatusCode::OK);
+            .and_then(|name| headers.get(name)?.to_str().ok());
         let slots = (dialect.read_load)(headers).map(|load| load.slots);
-        Ok(process.map(|process| ProbeResponse {
-            process: process.into(),
+        Ok(ProbeResponse {
+            process: process.map(Into::into),
+            is_healthy: response.status() == StatusCode::OK,
             slots: slots.filter(|&slots| slots > 0),
-        }))
+        })
     };
     tokio::pin!(response);
     tokio::select! {
--- a/crates/node/src/target_tracker.rs
+++ b/crates/node/src/target_tracker.rs
@@ -6,12 +6,20 @@
         data::{CrashWatch, TargetAdmission},
     },
     jujubeline_coordination::{
-        NoticeEffect, OwnTarget, TargetRecord, TargetReport, membership::TargetState,
+        HealthAnswer, HealthQuestion, NoticeEffect, OwnTarget, TargetRecord, TargetReport,
+        membership::TargetState,
     },
     jujubeline_core::{AnnouncedState, NodeId, ProcessId, TargetNotice},
     parking_lot::Mutex,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::sync::{Notify, watch},
     tokio_util::sync::CancellationToken,
 };
 
@@ -32,6 +40,44 @@
     pub admission: Arc<TargetAdmission>,
     /// Last known process of the target.
     pub record: Mutex<TargetRecord>,
+    /// Notified when a health check has to show which process of the target runs.
+    pub unconfirmed: Notify,
+    /// Notices and health checks of the target, counted by their effect.
+    pub counts: NoticeCounts,
+}
+
+/// Notices of the target by effect, and health checks that were to confirm a process.
+#[derive(Debug, Default)]
+pub struct NoticeCounts {
+    by_effect: [AtomicU64; NoticeEffect::ALL.len()],
+    confirmed: AtomicU64,
+    not_confirmed: AtomicU64,
+}
+
+impl NoticeCounts {
+    fn count_notice(&self, effect: NoticeEffect) {
+        let counted = NoticeEffect::ALL.iter().zip(&self.by_effect);
+        for (_, count) in counted.filter(|(known, _)| **known == effect) {
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Notices with an effect.
+    pub fn notices(&self, effect: NoticeEffect) -> u64 {
+        let mut counted = NoticeEffect::ALL.iter().zip(&self.by_effect);
+        let count = counted.find(|(known, _)| **known == effect);
+        count.map_or(0, |(_, count)| count.load(Ordering::Relaxed))
+    }
+
+    /// Health checks that confirmed a process.
+    pub fn confirmed(&self) -> u64 {
+        self.confirmed.load(Ordering::Relaxed)
+    }
+
+    /// Health checks that did not confirm the process that was asked about.
+    pub fn not_confirmed(&self) -> u64 {
+        self.not_confirmed.load(Ordering::Relaxed)
+    }
 }
 
 /// The process that a request was sent to.
@@ -45,18 +91,42 @@
 
 impl TargetTracker {
     /// Applies a notice of the target.
-    pub fn apply_notice(&self, notice: &TargetNotice) -> NoticeEffect {
+    pub fn apply_notice(&self, notice: &TargetNotice, now: Instant) -> NoticeEffect {
         let Some(own) = &self.own else {
             return NoticeEffect::Foreign;
         };
         let mut record = self.record.lock();
-        let effect = record.apply_notice(notice, own);
+        let effect = record.apply_notice(notice, own, now);
         if let NoticeEffect::Taken { new_process } = effect {
             self.apply_record(&record, own.address, new_process);
         }
+        if record.unconfirmed(now).is_some() {
+            self.unconfirmed.notify_one();
+        }
+        drop(record);
+        self.counts.count_notice(effect);
         effect
     }
 
+    /// The process that a health check has to confirm.
+    pub fn unconfirmed(&self, now: Instant) -> Option<HealthQuestion> {
+        self.record.lock().unconfirmed(now)
+    }
+
+    /// Applies the answer of a health check that was sent to confirm a process; `None` if there was no answer.
+    pub fn apply_health_answer(&self, asked: &HealthQuestion, answer: Option<&HealthAnswer>) {
+        let mut record = self.record.lock();
+        let effect = answer.and_then(|answer| record.apply_health_answer(asked, answer));
+        let Some(NoticeEffect::Taken { new_process }) = effect else {
+            self.counts.not_confirmed.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        self.counts.confirmed.fetch_add(1, Ordering::Relaxed);
+        if let Some(own) = &self.own {
+            self.apply_record(&record, own.address, new_process);
+        }
+    }
+
     /// Records a process that answered that it is healthy, if none is recorded yet.
     pub fn record_healthy_process(&self, process: &ProcessId, slots: u32) {
         let Some(own) = &self.own else {
@@ -83,7 +153,7 @@
     }
 
     /// Takes note that a process of the target stated that it is shutting down.
-    pub fn process_leaves(&self, lifetime: &TargetLifetime) {
+    pub fn process_leaves(&self, lifetime: &TargetLifetime, now: Instant) {
         let Some(process) = lifetime.process.clone() else {
             return;
         };
@@ -94,14 +164,15 @@
             "process {process} of the target of node {} states that it is leaving",
             self.node
         );
-        self.apply_notice(&TargetNotice::Leave {
+        let leave = TargetNotice::Leave {
             process,
             born_ms: lifetime.born_ms,
-        });
+        };
+        self.apply_notice(&leave, now);
     }
 
     /// Adopts what another node heard from the target before this node restarted.
-    pub fn adopt(&self, report: &TargetReport) {
+    pub fn adopt(&self, report: &TargetReport, now: Instant) {
         let lifetime = self.lifetime();
         if let Some(per_s) = report.rate_limit_per_s
             && report.is_about(lifetime.process.as_ref(), lifetime.born_ms)
@@ -114,10 +185,11 @@
         // A process that was born at a known time is another one than a process that was reported without it.
         let is_comparable = report.born_ms.is_some() || lifetime.born_ms.is_none();
         if report.is_leaving && is_comparable {
-            self.process_leaves(&TargetLifetime {
+            let lifetime = TargetLifetime {
                 process: report.process.clone(),
                 born_ms: report.born_ms,
-            });
+            };
+            self.process_leaves(&lifetime, now);
         }
     }
 
