Compare the starts of a target's processes for equality only

Cause: processes were ordered by their start, which is a reading of a clock. A target that started again after its clock was set back counted as older than the process before it, so all its notices were ignored, and acknowledged. The log of the node shows "without effect (Outdated)" for heartbeat 1 of the new process and for its draining, number 7; the former process had sent one heartbeat, which rules out that numbers were compared across processes.

Change: a start tells processes apart and orders nothing. A notice of another process raises a question that the target's health check decides. A leaving binds at once; if it has the id of the recorded process, that one gets no work until the health check says that a healthy process runs.

Ten cases of target_record.rs are new or changed; leave_of_former_start expected that the leave of another start has no effect, which is the fault, and now also expects that the target is ready again after its health check.

--- a/crates/coordination/src/target_record.rs
+++ b/crates/coordination/src/target_record.rs
@@ -72,6 +72,8 @@
 }
 
 /// A process of a target: its id and its start, which tells it from others that have the same id.
+///
+/// The start is a reading of a clock that may be stepped, so it is compared for equality only.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProcessStart {
     /// Id of the process.
@@ -308,7 +310,7 @@
             }
             return NoticeEffect::Taken { new_process: false };
         }
-        if self.is_outdated(&start, heartbeat.sequence) || self.is_before_recorded(&start) {
+        if self.is_outdated(&start, heartbeat.sequence) {
             return NoticeEffect::Outdated;
         }
         let mut process = Process::of_heartbeat(heartbeat);
@@ -361,9 +363,6 @@
             self.candidate.take_if(|other| other.process.id == start.id);
             return leaving.map_or(NoticeEffect::Kept, |leaving| self.record(leaving));
         };
-        if self.is_before_recorded(start) {
-            return NoticeEffect::Kept;
-        }
         if known.id == start.id {
             return self.suspend_recorded(start, leaving, now);
         }
@@ -418,12 +417,6 @@
         known.any(|(known, last)| known == *start && last >= sequence)
     }
 
-    /// Whether a process started before the recorded one.
-    fn is_before_recorded(&self, start: &ProcessStart) -> bool {
-        let known = self.process.as_ref();
-        known.is_some_and(|known| start.born_ms.is_some() && known.born_ms > start.born_ms)
-    }
-
     fn hear_candidate(&mut self, process: Process, now: Instant) {
         let known = self.candidate.take();
         let first_heard = known
--- a/crates/coordination/tests/target_record.rs
+++ b/crates/coordination/tests/target_record.rs
@@ -147,13 +147,42 @@
     leave_of_known_process: (
         vec![beat("a", 10, 1, READY), healthy("a"), leaves("a", None)], Some(TAKEN), Some(("a", DRAINING)),
     ),
+    restart_after_the_clock_was_set_back: (
+        vec![beat("a", 11, 9, READY), healthy("a"), beat("a", 10, 1, READY), healthy("a")],
+        Some(NEW_PROCESS), Some(("a", READY)),
+    ),
+    draining_after_the_clock_was_set_back: (
+        vec![beat("a", 11, 9, READY), healthy("a"), beat("a", 10, 1, DRAINING)], Some(TAKEN), Some(("a", DRAINING)),
+    ),
+    leave_after_the_clock_was_set_back: (
+        vec![beat("a", 11, 9, READY), healthy("a"), leaves("a", Some(10))], Some(TAKEN), Some(("a", DRAINING)),
+    ),
+    late_heartbeat_after_an_unknown_start_leaves: (
+        vec![beat("a", 11, 9, READY), healthy("a"), leaves("a", Some(10)), beat("a", 11, 10, READY), unhealthy("a")],
+        None, Some(("a", DRAINING)),
+    ),
+    next_process_after_the_clock_was_set_back: (
+        vec![beat("a", 11, 9, READY), healthy("a"), beat("b", 10, 1, READY), healthy("b")],
+        Some(NEW_PROCESS), Some(("b", READY)),
+    ),
+    draining_of_next_process: (
+        vec![beat("a", 11, 9, READY), healthy("a"), beat("b", 10, 1, DRAINING), unhealthy("b")],
+        Some(NEW_PROCESS), Some(("b", DRAINING)),
+    ),
+    draining_of_former_process: (
+        vec![beat("b", 11, 1, READY), healthy("b"), beat("a", 10, 99, DRAINING), healthy("b")],
+        None, Some(("b", READY)),
+    ),
     heartbeat_of_former_process: (
         vec![beat("b", 11, 1, READY), healthy("b"), beat("a", 10, 99, READY)],
-        Some(NoticeEffect::Outdated), Some(("b", READY)),
+        Some(NoticeEffect::Unconfirmed), Some(("b", READY)),
+    ),
+    answer_after_heartbeat_of_former_process: (
+        vec![beat("b", 11, 1, READY), healthy("b"), beat("a", 10, 99, READY), healthy("b")], None, Some(("b", READY)),
     ),
     leave_of_former_start: (
-        vec![beat("a", 11, 1, READY), healthy("a"), leaves("a", Some(10))],
-        Some(NoticeEffect::Kept), Some(("a", READY)),
+        vec![beat("a", 11, 1, READY), healthy("a"), leaves("a", Some(10)), healthy("a")],
+        Some(NEW_PROCESS), Some(("a", READY)),
     ),
     heartbeat_after_leave: (
         vec![beat("a", 10, 1, READY), healthy("a"), leaves("a", Some(10)), beat("a", 10, 2, READY)],
@@ -299,6 +328,28 @@
             record.process().is_none_or(|known| known.state == DRAINING)
         })
     }
+
+    /// Guards against a healthy process that is kept from work by late notices of others: its next heartbeat and health
+    /// check undo them.
+    fn process_that_runs_gets_work_again(notices: Vec<AnyNotice>) -> bool {
+        let mut record = TargetRecord::default();
+        let now = Instant::now();
+        for AnyNotice(notice) in &notices {
+            let is_of_running = match notice {
+                TargetNotice::Heartbeat(late) => &*late.process == "a" && late.born_ms == 11,
+                TargetNotice::Leave { process, born_ms } => &**process == "a" && *born_ms == Some(11),
+            };
+            if !is_of_running {
+                apply(&mut record, &Step::Notice(notice.clone()), now);
+                apply(&mut record, &healthy("a"), now);
+            }
+        }
+        apply(&mut record, &beat("a", 11, 9, READY), now);
+        apply(&mut record, &healthy("a"), now);
+        record.process().is_some_and(|known| {
+            &*known.id == "a" && known.born_ms() == Some(11) && known.state == READY
+        })
+    }
 }
 
 /// Guards against a heartbeat of another target that is taken for the one beside the node.
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -19,7 +19,8 @@
 pub struct Heartbeat {
     /// Id of the target's process.
     pub process: ProcessId,
-    /// Start of the process, in milliseconds since the Unix epoch. A later start replaces an earlier one.
+    /// Start of the process, in milliseconds since the Unix epoch. It tells processes with the same id apart and does not
+    /// order them, because the clock may be set back between two starts.
     pub born_ms: u64,
     /// Number of the heartbeat within the process. A heartbeat with a lower number than an earlier one was delayed.
     pub sequence: u64,
--- a/crates/daemon/tests/target_processes.rs
+++ b/crates/daemon/tests/target_processes.rs
@@ -8,7 +8,7 @@
         thread,
         time::{Duration, Instant},
     },
-    support::target_fleet::{Fleet, POLL_INTERVAL, READY, WAIT_TIMEOUT},
+    support::target_fleet::{DRAINING, Fleet, POLL_INTERVAL, READY, WAIT_TIMEOUT},
 };
 
 /// Time in which a node that takes a notice for true has confirmed its process and sends it requests.
@@ -58,3 +58,21 @@
     fleet.heartbeat("i-1", 10, 2, READY);
     wait_until_served(&fleet);
 }
+
+/// Guards against a target that started again after its clock was set back and whose notices are acknowledged without
+/// effect: it would never get work, or keep getting it after the acknowledgement that it drains.
+#[test]
+fn target_that_started_again_with_an_earlier_start_drains() {
+    for process in ["i-1", "i-2"] {
+        let fleet = Fleet::ready();
+        fleet.target.answer_health_checks("i-1", true);
+        wait_until_served(&fleet);
+        fleet.target.answer_health_checks(process, true);
+        fleet.heartbeat(process, 8, 1, READY);
+        thread::sleep(SETTLING_TIME);
+        wait_until_served(&fleet);
+        fleet.target.answer_health_checks(process, false);
+        fleet.heartbeat(process, 8, 2, DRAINING);
+        assert_eq!(arrivals_of_requests(&fleet), 0, "process {process}");
+    }
+}
