Notice callers that leave while bytes of them are unread

Cause: the HTTP server notices the end of a connection only by reading, and it does not read while it serves a request and holds further bytes of the caller, or while a request body is not forwarded. The record shows the second request of each connection going out when the first is answered, and no third one, which rules out an abort that gets lost on the way.

Change: while the server does not read, the entry node asks the system each 100 ms whether the connection was closed or reset; the system tells this also if unread bytes come before. The server is then dropped with all requests of the connection. A request that is read after its caller has left is not served. Nothing is read ahead. Counter jujubeline_callers_left_ahead_total.

--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -20,6 +20,7 @@
 /// States in heartbeats.
 pub const READY: &str = "ready";
 pub const DRAINING: &str = "draining";
+/// Time for which the target works on a request if the test states no other.
 const WORK: Duration = Duration::from_millis(200);
 
 /// A target that adds the same headers to each response and records the arrivals.
@@ -31,7 +32,7 @@
 }
 
 impl Target {
-    pub fn start() -> Self {
+    pub fn start(work: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (headers, arrivals) = (Arc::<Mutex<String>>::default(), Arc::default());
@@ -48,7 +49,7 @@
             for stream in listener.incoming().flatten() {
                 let (headers, health) = (Arc::clone(&headers), Arc::clone(&health));
                 let arrivals = Arc::clone(&arrivals);
-                thread::spawn(move || serve(stream, &headers, &health, &arrivals));
+                thread::spawn(move || serve(stream, work, &headers, &health, &arrivals));
             }
         });
         target
@@ -81,6 +82,7 @@
 
 fn serve(
     mut stream: TcpStream,
+    work: Duration,
     headers: &Mutex<String>,
     health: &Mutex<String>,
     arrivals: &Mutex<Vec<Instant>>,
@@ -108,7 +110,7 @@
             .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
             .unwrap_or_default()
             .to_owned();
-        thread::sleep(WORK);
+        thread::sleep(work);
         let stated = headers.lock().unwrap().clone();
         let response = format!(
             "HTTP/1.1 200 OK\r\nx-jujubeline-attempt-id: {id}\r\n{stated}content-length: 0\r\n\r\n"
@@ -130,9 +132,14 @@
 
 impl Fleet {
     pub fn ready() -> Self {
+        Self::ready_with_work(WORK)
+    }
+
+    /// A fleet whose target works on each request for this time.
+    pub fn ready_with_work(work: Duration) -> Self {
         let runtime = Runtime::new().unwrap();
         let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
-        let target = Target::start();
+        let target = Target::start(work);
         let unused = SocketAddr::from(([127, 0, 0, 1], 9));
         let edge = launch(&store, "edge", "billing", unused);
         let gate = launch(&store, "gate", "schedules", target.address);
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -18,7 +18,7 @@
     std::{
         future::Future,
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, atomic::AtomicU64},
         time::{Duration, Instant},
     },
     tokio::{
@@ -43,6 +43,8 @@
     pub entry: Arc<EntryNode>,
     /// Runs requests at the local target.
     pub gate: Arc<Gate>,
+    /// Callers that left while bytes that they had sent were unread.
+    pub callers_left: Arc<AtomicU64>,
     signals: StopSignals,
     exchanges: TaskTracker,
     tasks: TaskTracker,
@@ -66,6 +68,7 @@
         data: Listener,
     ) -> NodeResult<Self> {
         let (callers_address, data_address) = (callers.local_address()?, data.local_address()?);
+        let callers_left = callers.callers_left();
         let signals = StopSignals::default();
         let (tasks, exchanges) = (TaskTracker::new(), TaskTracker::new());
         let location = NodeLocation {
@@ -146,6 +149,7 @@
         let path = Self {
             entry,
             gate,
+            callers_left,
             signals,
             exchanges,
             tasks,
--- a/crates/node/src/data/detected_stream.rs
+++ b/crates/node/src/data/detected_stream.rs
@@ -1,7 +1,10 @@
 //! A new connection whose protocol is detected by its first bytes.
 
 use {
+    super::caller_watch::CallerWatch,
     bytes::{Buf, BytesMut},
+    futures::ready,
+    rustix::net::Shutdown,
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -34,7 +37,7 @@
 /// the connection to 16 KB.
 #[derive(Debug)]
 pub struct DetectedStream {
-    stream: TcpStream,
+    caller: CallerWatch,
     first: Option<BytesMut>,
 }
 
@@ -58,8 +61,20 @@
                 break Protocol::Http2;
             }
         };
-        let first = Some(first);
-        Ok((Self { stream, first }, protocol))
+        let detected = Self {
+            caller: CallerWatch::new(stream),
+            first: Some(first),
+        };
+        Ok((detected, protocol))
+    }
+
+    /// Watch that notices the end of this connection while nothing is read from it.
+    pub fn caller(&self) -> CallerWatch {
+        self.caller.clone()
+    }
+
+    fn stream(&self) -> &TcpStream {
+        self.caller.stream()
     }
 }
 
@@ -69,45 +84,74 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let Some(first) = &mut self.first else {
-            return Pin::new(&mut self.stream).poll_read(cx, buffer);
-        };
-        let count = first.len().min(buffer.remaining());
-        buffer.put_slice(&first[..count]);
-        first.advance(count);
-        if first.is_empty() {
-            self.first = None;
+        if let Some(first) = &mut self.first {
+            let count = first.len().min(buffer.remaining());
+            buffer.put_slice(&first[..count]);
+            first.advance(count);
+            if first.is_empty() {
+                self.first = None;
+            }
+            return Poll::Ready(Ok(()));
         }
-        Poll::Ready(Ok(()))
+        let polled = poll_io(
+            cx,
+            |cx| self.stream().poll_read_ready(cx),
+            || self.stream().try_read_buf(buffer),
+        );
+        self.caller.set_awaited(polled.is_pending());
+        polled.map_ok(|_| ())
     }
 }
 
 impl AsyncWrite for DetectedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        poll_io(
+            cx,
+            |cx| self.stream().poll_write_ready(cx),
+            || self.stream().try_write(bytes),
+        )
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        poll_io(
+            cx,
+            |cx| self.stream().poll_write_ready(cx),
+            || self.stream().try_write_vectored(slices),
+        )
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(rustix::net::shutdown(self.stream(), Shutdown::Write).map_err(Into::into))
+    }
+}
+
+/// Repeats an operation of a socket until it does not block.
+fn poll_io<T>(
+    cx: &mut Context<'_>,
+    poll_ready: impl Fn(&mut Context<'_>) -> Poll<io::Result<()>>,
+    mut operate: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(poll_ready(cx))?;
+        match operate() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
+        }
     }
 }
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ResponseBody,
+        caller_watch::CallerWatch,
         detected_stream::{DetectedStream, Protocol},
         peers::{CONNECTION_WINDOW_BYTES, MAX_HEADER_LIST_BYTES, STREAM_WINDOW_BYTES},
         target_pool::MAX_BUFFER_BYTES,
@@ -19,7 +20,15 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     jujubeline_core::{Peer, Step},
     std::{
-        convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+        convert::Infallible,
+        future::Future,
+        net::SocketAddr,
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -89,6 +98,7 @@
 pub struct Listener {
     socket: TcpListener,
     kind: ListenerKind,
+    callers_left: Arc<AtomicU64>,
 }
 
 impl Listener {
@@ -106,7 +116,17 @@
                 format!("cannot listen on {address}: {error}"),
             )
         })?;
-        Ok(Self { socket, kind })
+        Ok(Self {
+            socket,
+            kind,
+            callers_left: Arc::default(),
+        })
+    }
+
+    /// Counter of the callers that left while bytes that they had sent were unread.
+    #[must_use]
+    pub fn callers_left(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.callers_left)
     }
 
     /// Bound address, with the port that the system chose.
@@ -146,8 +166,11 @@
                 self.kind,
                 peer,
                 serve.clone(),
-                signals.clone(),
-                tasks.clone(),
+                ConnectionContext {
+                    signals: signals.clone(),
+                    tasks: tasks.clone(),
+                    callers_left: self.callers_left(),
+                },
             );
             tasks.spawn(async move {
                 connection.await;
@@ -169,25 +192,35 @@
     }
 }
 
+/// What a connection shares with the others of its listener.
+struct ConnectionContext {
+    signals: StopSignals,
+    tasks: TaskTracker,
+    callers_left: Arc<AtomicU64>,
+}
+
 /// Serves one connection until it ends or the stop signals close it.
 async fn serve_connection<S, F>(
     stream: TcpStream,
     kind: ListenerKind,
     peer: SocketAddr,
     serve: S,
-    signals: StopSignals,
-    tasks: TaskTracker,
+    context: ConnectionContext,
 ) where
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    let ConnectionContext {
+        signals,
+        tasks,
+        callers_left,
+    } = context;
     // Without this option, small writes wait for acknowledgements. The connection also works if it cannot be set.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request: Request<Incoming>| -> Served {
-        serve(peer, request).map(Ok).boxed()
-    });
+    let serve = move |request| -> Served { serve(peer, request).map(Ok).boxed() };
     if kind == ListenerKind::Http2 {
-        let connection = http2_builder(tasks).serve_connection(TokioIo::new(stream), service);
+        let connection =
+            http2_builder(tasks).serve_connection(TokioIo::new(stream), service_fn(serve));
         serve_http2(connection, &signals).await;
         return;
     }
@@ -200,32 +233,51 @@
     };
     match protocol {
         Protocol::Http1 => {
+            let caller = stream.caller();
+            let watched = caller.clone();
+            let service = service_fn(move |request| {
+                if watched.has_left() {
+                    // The server drops the request as soon as it reads the end of the connection.
+                    std::future::pending().boxed()
+                } else {
+                    serve(request)
+                }
+            });
             let connection = http1_builder().serve_connection(TokioIo::new(stream), service);
-            serve_http1(connection, &signals).await;
+            if serve_http1(connection, &caller, &signals).await {
+                callers_left.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Protocol::Http2 => {
-            let connection = http2_builder(tasks).serve_connection(TokioIo::new(stream), service);
+            let connection =
+                http2_builder(tasks).serve_connection(TokioIo::new(stream), service_fn(serve));
             Box::pin(serve_http2(connection, &signals)).await;
         }
     }
 }
 
+/// Serves requests until the connection ends. Returns whether the caller left while bytes that it had sent were unread.
+///
 /// An idle connection is not closed while the node drains, because a request may already be on its way and would be cut
 /// off. That request gets a refusal with `connection: close`.
-async fn serve_http1<T, S>(connection: http1::Connection<T, S>, signals: &StopSignals)
+async fn serve_http1<T, S>(
+    connection: http1::Connection<T, S>,
+    caller: &CallerWatch,
+    signals: &StopSignals,
+) -> bool
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin,
     S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible, Future = Served>,
 {
     let mut connection = pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        has_left = caller.serve(connection.as_mut()) => return has_left,
         () = signals.close.cancelled() => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
-        _ = connection => {}
-        () = signals.cut.cancelled() => {}
+        has_left = caller.serve(connection) => has_left,
+        () = signals.cut.cancelled() => false,
     }
 }
 
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -6,6 +6,7 @@
 mod attempt_end;
 mod body;
 mod buffered_body;
+mod caller_watch;
 mod catalogue_index;
 mod claim_header;
 mod context;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,7 +20,7 @@
     jujubeline_core::{Class, Incarnation},
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::time::sleep,
@@ -322,7 +322,7 @@
         Arc::clone(crashes),
         Arc::clone(crashes),
     );
-    let hops = Arc::clone(&data.gate.hops);
+    let (hops, callers_left) = (Arc::clone(&data.gate.hops), Arc::clone(&data.callers_left));
     ObservedValues {
         by_class: vec![
             (
@@ -393,6 +393,11 @@
                 "Exchanges whose calls have no retry allowance because the ledger was full.",
                 Arc::new(move || hops.refused()),
             ),
+            (
+                "jujubeline_callers_left_ahead",
+                "Callers that left while bytes that they had sent were unread; their requests are aborted.",
+                Arc::new(move || callers_left.load(Ordering::Relaxed)),
+            ),
         ],
     }
 }
