Decode each entry of a listing or watch on its own

Callers saw 503 for every request, for good, on nodes that found one odd entry in the listings of the store: deeply nested, with a number beyond the range, without a name or version.

Cause: a whole page was decoded as one value, so one entry that cannot be read made all others unreadable. A watch began again at such an event.

Change: entries are decoded one by one; what cannot be read is left out, counted and logged once. An entry of which only the value cannot be read keeps its name and version, so that it can be replaced. Counter jujubeline_platform_entries_unreadable.

--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{RunningDaemon, exchange, get, start},
-    jujubeline_standin::platform::PlatformStandin,
+    jujubeline_standin::platform::{Faults, PlatformStandin},
     serde_json::json,
     std::{
         io::{Read, Write},
@@ -137,8 +137,18 @@
 
     /// A fleet whose target works on each request for this time.
     pub fn ready_with_work(work: Duration) -> Self {
+        Self::ready_with(work, Faults::default())
+    }
+
+    /// A fleet that starts while the store has these faults.
+    pub fn ready_with_faults(faults: Faults) -> Self {
+        Self::ready_with(WORK, faults)
+    }
+
+    fn ready_with(work: Duration, faults: Faults) -> Self {
         let runtime = Runtime::new().unwrap();
         let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
+        store.set_faults(faults);
         let target = Target::start(work);
         let unused = SocketAddr::from(([127, 0, 0, 1], 9));
         let edge = launch(&store, "edge", "billing", unused);
--- a/crates/node/src/control/configuration_follow.rs
+++ b/crates/node/src/control/configuration_follow.rs
@@ -108,10 +108,9 @@
         let configuration = match Configuration::read(object) {
             Ok(configuration) => configuration,
             Err(why) => {
-                log::warn!(
-                    "configuration at version {} is invalid and without effect: {why}",
-                    object.resource_version
-                );
+                let why = format!("version {} has no effect: {why}", object.resource_version);
+                self.platform
+                    .note_unreadable(Kind::Configuration, &object.name, &why);
                 return;
             }
         };
--- a/crates/node/src/control/join_points.rs
+++ b/crates/node/src/control/join_points.rs
@@ -107,7 +107,7 @@
         } else {
             self.platform.list(Kind::JoinPoints).await?
         };
-        let copy = Points::new(copy.objects);
+        let copy = Points::new(self.platform, copy.objects);
         let knows_contact = self.offer_contacts(&copy);
         let Some(own) = self.members.iter().find(|member| member.node == *self.own) else {
             return Ok(false);
@@ -121,7 +121,8 @@
             return Ok(false);
         }
         // The copy may lack the join points of nodes that started at the same time.
-        let current = Points::new(self.platform.list(Kind::JoinPoints).await?.objects);
+        let current = self.platform.list(Kind::JoinPoints).await?.objects;
+        let current = Points::new(self.platform, current);
         if self.offer_contacts(&current) && !self.round.may_write {
             return Ok(false);
         }
@@ -144,14 +145,17 @@
 }
 
 impl Points {
-    fn new(objects: Vec<Object>) -> Self {
-        let points = objects
-            .iter()
-            .filter_map(|object| {
-                let point = serde_json::from_value(object.value.clone()).ok()?;
-                Some((object.name.clone(), point))
-            })
-            .collect();
+    fn new(platform: &PlatformClient, objects: Vec<Object>) -> Self {
+        let read = |object: &Object| match serde_json::from_value(object.value.clone()) {
+            Ok(point) => Some((object.name.clone(), point)),
+            // The client has noted it.
+            Err(_) if object.value.is_null() => None,
+            Err(error) => {
+                platform.note_unreadable(Kind::JoinPoints, &object.name, &error.to_string());
+                None
+            }
+        };
+        let points = objects.iter().filter_map(read).collect();
         Self { objects, points }
     }
 
--- a/crates/node/src/control/quarantines.rs
+++ b/crates/node/src/control/quarantines.rs
@@ -6,7 +6,7 @@
     error_stack::Report,
     jujubeline_coordination::StoredQuarantine,
     jujubeline_core::NodeId,
-    jujubeline_platform::{Kind, PlatformClient, PlatformError},
+    jujubeline_platform::{Kind, Object, PlatformClient, PlatformError},
     rand::Rng,
     std::{
         collections::BTreeSet,
@@ -60,10 +60,14 @@
 ) -> Result<(), Report<PlatformError>> {
     let listing = platform.list_stale(Kind::Quarantines).await?;
     let now = SystemTime::now();
-    for object in listing.objects {
+    // The client has noted objects whose value cannot be read.
+    let readable = |object: &Object| !object.value.is_null();
+    for object in listing.objects.into_iter().filter(readable) {
         match serde_json::from_value::<StoredQuarantine>(object.value) {
             Ok(stored) => membership.learn_crashes(stored.reports(now)).await,
-            Err(error) => log::warn!("quarantine {} is invalid: {error}", object.name),
+            Err(error) => {
+                platform.note_unreadable(Kind::Quarantines, &object.name, &error.to_string());
+            }
         }
     }
     Ok(())
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -364,6 +364,12 @@
         .with_description("Restores of the platform from a copy that this process saw.")
         .with_callback(move |observer| observer.observe(restored.restores(), &[]))
         .build();
+    let read = platform.clone();
+    meter
+        .u64_observable_counter("jujubeline_platform_entries_unreadable")
+        .with_description("Entries of the platform that cannot be read, each counted once.")
+        .with_callback(move |observer| observer.observe(read.unreadable_entries(), &[]))
+        .build();
     meter
         .u64_observable_counter("jujubeline_platform_calls")
         .with_description("Calls of the platform by step and result.")
--- a/crates/standin/src/platform/answer.rs
+++ b/crates/standin/src/platform/answer.rs
@@ -18,6 +18,17 @@
     )
 }
 
+/// A response with a list, in which an entry given as JSON text comes first.
+pub(super) fn json_with_entry(value: &Value, list: &str, entry: &str) -> Response<Body> {
+    let rest = value[list]
+        .as_array()
+        .map_or("", |known| if known.is_empty() { "" } else { "," });
+    let start = format!("\"{list}\":[");
+    let text = value.to_string();
+    let text = text.replacen(&start, &format!("{start}{entry}{rest}"), 1);
+    with_body(StatusCode::OK, Full::new(Bytes::from(text)).boxed_unsync())
+}
+
 pub(super) fn error(status: StatusCode, message: &str) -> Response<Body> {
     json(status, &json!({ "error": message }))
 }
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -41,4 +41,7 @@
     pub end_watches: bool,
     /// Discards the history of changes once, when the faults are set, so that watches from an earlier version expire.
     pub forget_history: bool,
+    /// JSON text of an object that another writer left; it comes first in each listing and in each answer to a watch that
+    /// has events. It may be text that this stand-in could not store.
+    pub odd_object: String,
 }
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -163,6 +163,7 @@
             .store
             .version()
             .saturating_sub(inner.faults.stale_versions);
+        let odd_object = inner.faults.odd_object.clone();
         let store = &mut inner.store;
         match call {
             Call::List(after) => {
@@ -171,7 +172,10 @@
                 let more = objects.len() > PAGE_OBJECTS;
                 objects.truncate(PAGE_OBJECTS);
                 let listing = answer::listing(objects, more, read_at);
-                return answer::json(StatusCode::OK, &listing);
+                if odd_object.is_empty() {
+                    return answer::json(StatusCode::OK, &listing);
+                }
+                return answer::json_with_entry(&listing, "items", &odd_object);
             }
             Call::Get(name) => store.get(kind, &name, read_at).ok_or(StoreError::NotFound),
             Call::Create(name, value) => store.create(kind, &name, value),
--- a/crates/standin/src/platform/watch.rs
+++ b/crates/standin/src/platform/watch.rs
@@ -65,6 +65,11 @@
                 Err(refused) => return Ok(answer::refused(refused)),
                 Ok((events, version)) if !events.is_empty() || Instant::now() >= ends_at => {
                     let body = json!({ "events": events, "currentRev": version });
+                    let odd_object = state.lock().faults.odd_object.clone();
+                    if !odd_object.is_empty() && !events.is_empty() {
+                        let event = format!(r#"{{"deleted":false,"object":{odd_object}}}"#);
+                        return Ok(answer::json_with_entry(&body, "events", &event));
+                    }
                     return Ok(answer::json(StatusCode::OK, &body));
                 }
                 Ok(_) => {}
