Test endless bytes of a target beside other callers

Reported by other operators: a target sends bytes that are no answer without end, and the node keeps them until it ends. It does not happen here; until now tests covered one request at a time.

The test plays eleven forms (status line, noise, one header, many headers, 103 answers, chunk size, chunk extension, chunks, trailers, a body without length, bytes after an answer) to 100 callers at once, a fourth of which read slowly, through three nodes. It checks that each request ends within 3 s after its deadline, that no node takes more than 160 MB, the memory of the smallest machine, and that each request of other callers is served.

--- /dev/null
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -0,0 +1,134 @@
+//! Bytes that are no answer and come without end from a target, to many callers at once, through three daemons with
+//! stand-ins for the store and the targets.
+
+mod support;
+
+use {
+    jujubeline_core::cases,
+    std::{
+        fs,
+        io::{Read, Write},
+        net::{SocketAddr, TcpStream},
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    support::{
+        RunningDaemon, exchange,
+        target_fleet::{Fleet, POLL_INTERVAL, WAIT_TIMEOUT},
+    },
+};
+
+/// Callers that request endless bytes at the same time. Each fourth of them reads slowly.
+const ENDLESS_CALLERS: usize = 100;
+const SLOW_READER_SHARE: usize = 4;
+const SLOW_READ_BYTES: usize = 1_024;
+const SLOW_READ_PERIOD: Duration = Duration::from_millis(20);
+/// Time that the callers allow, and time after it within which their connections must end.
+const DEADLINE_MS: u64 = 1_500;
+const END_SLACK: Duration = Duration::from_secs(3);
+/// Memory of the smallest machine of the deployments, which a node shares with the rest of the system.
+const MAX_NODE_KB: u64 = 160 * 1_024;
+
+/// Runs the cases one after the other, because each of them uses all processors.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn head(path: &str, deadline_ms: u64) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\nx-jujubeline-attempt-id: {}\r\n\
+         x-jujubeline-deadline-ms: {deadline_ms}\r\nconnection: close\r\n\r\n",
+        path.replace('/', "-")
+    )
+}
+
+/// Reads until the connection ends. Returns how long it took.
+fn read_endless(callers: SocketAddr, number: usize) -> Duration {
+    let sent = Instant::now();
+    let mut stream = TcpStream::connect(callers).unwrap();
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let request = head(&format!("/safe/endless/{number}"), DEADLINE_MS);
+    stream.write_all(request.as_bytes()).unwrap();
+    let is_slow = number.is_multiple_of(SLOW_READER_SHARE);
+    let mut chunk = vec![0; if is_slow { SLOW_READ_BYTES } else { 64 * 1_024 }];
+    while stream.read(&mut chunk).is_ok_and(|count| count > 0) {
+        if is_slow {
+            // A slow reader has bytes of the system to read after the node has closed; it leaves instead.
+            if sent.elapsed() > Duration::from_millis(DEADLINE_MS) + END_SLACK {
+                break;
+            }
+            thread::sleep(SLOW_READ_PERIOD);
+        }
+    }
+    sent.elapsed()
+}
+
+/// Highest resident memory of a process so far.
+fn peak_memory_kb(daemon: &RunningDaemon) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    value.expect("the peak").parse().unwrap()
+}
+
+fn wait_until_served(edge: SocketAddr) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while !exchange(edge, &head("/well/first", 3_000)).starts_with("HTTP/1.1 200") {
+        assert!(Instant::now() < until, "the other service is not served");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+cases! {
+    /// Guards against memory that fills up with bytes that are no answer, requests beyond their deadline, and other
+    /// callers of the same nodes that are not served meanwhile.
+    fn endless_bytes_harm_no_other_caller(start: &str, rest: &str) {
+        let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut fleet = Fleet::ready_with_work(Duration::ZERO);
+        let (mut billing, _target) = fleet.add_billing();
+        let edge = fleet.edge.callers;
+        wait_until_served(edge);
+        fleet.target.send_endless(start, rest);
+        let is_over = AtomicBool::new(false);
+        let (longest, others) = thread::scope(|scope| {
+            let endless: Vec<_> = (0..ENDLESS_CALLERS)
+                .map(|number| scope.spawn(move || read_endless(edge, number)))
+                .collect();
+            let others = scope.spawn(|| {
+                let mut answers = Vec::new();
+                while !is_over.load(Ordering::Relaxed) {
+                    let path = format!("/well/{}", answers.len());
+                    answers.push(exchange(edge, &head(&path, 3_000)));
+                    thread::sleep(POLL_INTERVAL);
+                }
+                answers
+            });
+            let longest = endless.into_iter().map(|caller| caller.join().unwrap()).max();
+            is_over.store(true, Ordering::Relaxed);
+            (longest.unwrap(), others.join().unwrap())
+        });
+        let allowed = Duration::from_millis(DEADLINE_MS) + END_SLACK + 2 * SLOW_READ_PERIOD;
+        assert!(longest <= allowed, "a request took {longest:?}");
+        let served = others.iter().filter(|answer| answer.starts_with("HTTP/1.1 200")).count();
+        assert_eq!(served, others.len(), "other callers are not served");
+        assert!(served >= 3, "{served} other requests");
+        for daemon in [&mut fleet.edge, &mut fleet.gate, &mut billing] {
+            assert!(daemon.child.try_wait().unwrap().is_none(), "a node has ended");
+            let peak_kb = peak_memory_kb(daemon);
+            assert!(peak_kb <= MAX_NODE_KB, "{peak_kb} KB");
+        }
+    }
+    status_line: ("", "HTTP/1.1 200 OK "),
+    noise: ("", "\u{1}\u{2}spoiled"),
+    one_header_line: ("HTTP/1.1 200 OK\r\nx-more: ", "abcdefgh"),
+    header_lines: ("HTTP/1.1 200 OK\r\n", "x-more: abcdefg\r\n"),
+    informational_answers: ("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
+    chunk_size: ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "00000000"),
+    chunk_extension: ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8;x=", "abcdefgh"),
+    chunks: ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "8\r\nabcdefgh\r\n"),
+    trailers: ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-more: abcdefg\r\n"),
+    body_without_length: ("HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"),
+    bytes_after_an_answer: ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "abcdefgh"),
+}
--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -28,9 +28,17 @@
     pub address: SocketAddr,
     headers: Arc<Mutex<String>>,
     health: Arc<Mutex<String>>,
+    endless: Arc<Mutex<EndlessBytes>>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
+/// Bytes that a target sends in answer to requests below `/safe/endless/`: some first, and others without end.
+#[derive(Debug, Clone, Default)]
+pub struct EndlessBytes {
+    pub start: String,
+    pub rest: String,
+}
+
 impl Target {
     pub fn start(work: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -42,14 +50,16 @@
             address,
             headers: Arc::clone(&headers),
             health: Arc::clone(&health),
+            endless: Arc::default(),
             arrivals: Arc::clone(&arrivals),
         };
+        let endless = Arc::clone(&target.endless);
         // The thread is not joined; it ends with the test process.
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (headers, health) = (Arc::clone(&headers), Arc::clone(&health));
-                let arrivals = Arc::clone(&arrivals);
-                thread::spawn(move || serve(stream, work, &headers, &health, &arrivals));
+                let (endless, arrivals) = (Arc::clone(&endless), Arc::clone(&arrivals));
+                thread::spawn(move || serve(stream, work, &headers, &health, &endless, &arrivals));
             }
         });
         target
@@ -60,6 +70,14 @@
         *self.headers.lock().unwrap() = format!("{header}\r\n");
     }
 
+    /// Sends these bytes in answer to requests below `/safe/endless/`.
+    pub fn send_endless(&self, start: &str, rest: &str) {
+        *self.endless.lock().unwrap() = EndlessBytes {
+            start: start.to_owned(),
+            rest: rest.to_owned(),
+        };
+    }
+
     /// Names the process in answers to the health check, which says whether it is healthy.
     pub fn answer_health_checks(&self, process: &str, is_healthy: bool) {
         let status = if is_healthy {
@@ -85,6 +103,7 @@
     work: Duration,
     headers: &Mutex<String>,
     health: &Mutex<String>,
+    endless: &Mutex<EndlessBytes>,
     arrivals: &Mutex<Vec<Instant>>,
 ) {
     let mut buffer = Vec::new();
@@ -105,6 +124,11 @@
             return;
         }
         arrivals.lock().unwrap().push(Instant::now());
+        if head.starts_with("GET /safe/endless/") {
+            let bytes = endless.lock().unwrap().clone();
+            send_without_end(&mut stream, &bytes);
+            return;
+        }
         let id = head
             .lines()
             .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
@@ -121,6 +145,14 @@
     }
 }
 
+fn send_without_end(stream: &mut TcpStream, bytes: &EndlessBytes) {
+    let chunk = bytes.rest.repeat(16 * 1_024 / bytes.rest.len());
+    let mut sent = stream.write_all(bytes.start.as_bytes());
+    while sent.is_ok() {
+        sent = stream.write_all(chunk.as_bytes());
+    }
+}
+
 /// An entry node, a gate with its target, and the object store.
 pub struct Fleet {
     pub edge: RunningDaemon,
@@ -178,9 +210,15 @@
             "version": "0000000c",
             "routes": {
                 "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "service"],
-                "rows": [["r-safe", "a.example", "/safe/", "safe", 5000, 2, 2, "schedules"]],
+                "rows": [
+                    ["r-safe", "a.example", "/safe/", "safe", 5000, 2, 2, "schedules"],
+                    ["r-well", "a.example", "/well/", "safe", 5000, 2, 2, "billing"],
+                ],
+            },
+            "services": {
+                "columns": ["name", "healthPath", "maxConnections"],
+                "rows": [["schedules", "/health", 640], ["billing", "/health", 640]],
             },
-            "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
         }});
         let written = post(self.store.address(), "/api/objects/config", &object);
         assert!(written.contains("200 OK"), "{written}");
@@ -194,18 +232,26 @@
             "info": {"service": "schedules", "version": "v1", "zone": "dc1", "slots": 90},
             "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
         });
-        self.notify(process, "heartbeat", &heartbeat);
+        notify(&self.gate, process, "heartbeat", &heartbeat);
     }
 
     /// Sends the leave call of a process.
     pub fn leave(&self, process: &str, born_ms: u64) {
-        self.notify(process, "leave", &json!({"born": born_ms}));
+        notify(&self.gate, process, "leave", &json!({"born": born_ms}));
     }
 
-    fn notify(&self, process: &str, call: &str, body: &serde_json::Value) {
-        let path = format!("/api/instances/{process}/{call}");
-        let answer = post(self.gate.operators, &path, body);
-        assert!(answer.contains("200 OK"), "{answer}");
+    /// Starts a gate with a target of the service `billing`, whose requests have paths in `/well/`.
+    pub fn add_billing(&self) -> (RunningDaemon, Target) {
+        let target = Target::start(Duration::ZERO);
+        let gate = launch(&self.store, "well", "billing", target.address);
+        let heartbeat = json!({
+            "address": target.address.to_string(),
+            "born": 10,
+            "info": {"service": "billing", "version": "v1", "zone": "dc1", "slots": 90},
+            "status": {"state": READY, "sequence": 1, "coldRemainingMs": 0},
+        });
+        notify(&gate, "i-well", "heartbeat", &heartbeat);
+        (gate, target)
     }
 
     /// Waits until the entry node has the target of the present gate to choose.
@@ -267,6 +313,12 @@
     }
 }
 
+fn notify(gate: &RunningDaemon, process: &str, call: &str, body: &serde_json::Value) {
+    let path = format!("/api/instances/{process}/{call}");
+    let answer = post(gate.operators, &path, body);
+    assert!(answer.contains("200 OK"), "{answer}");
+}
+
 fn launch(store: &PlatformStandin, node: &str, service: &str, target: SocketAddr) -> RunningDaemon {
     start(&[
         "--deployment",
@@ -286,7 +338,7 @@
     ])
 }
 
-fn request(callers: SocketAddr, id: &str) -> String {
+pub fn request(callers: SocketAddr, id: &str) -> String {
     exchange(
         callers,
         &format!(
