Repeat reads on a new connection when a kept one has gone silent

Cause: a connection between nodes that goes silent for good shows no error. It was given up only by the timeout of a call, 4 s, and pulls that ran side by side met one silent connection after the other. The node stayed a member all the while and had started its pull in time, so that it was not told too late is ruled out.

Change: a call on a kept connection from which no byte has come for 300 ms is taken for unanswered. The connection gets no further calls; a read is sent again on a new one, and the first reply counts. Claims are not sent twice, and a reply that has begun to arrive is waited for. Nothing is sent while there are no calls. Counter jujubeline_silent_calls.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -20,6 +20,6 @@
     membership_actor::MembershipHandle,
     plane::Control,
     pull::PullCounts,
-    rpc::{ClaimsCall, ClaimsReply, Peers},
+    rpc::{CallCounts, ClaimsCall, ClaimsReply, Peers},
     udp::DatagramCounts,
 };
--- a/crates/node/src/control/rpc/call.rs
+++ b/crates/node/src/control/rpc/call.rs
@@ -21,6 +21,13 @@
     Claims(ClaimCall),
 }
 
+impl Request {
+    /// Whether the request changes nothing at the peer, so that it may be sent twice.
+    pub(super) const fn is_read(&self) -> bool {
+        matches!(self, Self::Members(_) | Self::CatalogueSince(_))
+    }
+}
+
 /// Reply of another node.
 #[derive(Debug)]
 pub(super) enum Reply {
--- a/crates/node/src/control/rpc/connections.rs
+++ b/crates/node/src/control/rpc/connections.rs
@@ -1,10 +1,16 @@
 //! Connections to other nodes, opened on demand.
 
 use {
-    super::call::{CallFailure, ClaimsReply, Reply, Request},
+    super::{
+        call::{CallFailure, ClaimsReply, Reply, Request},
+        observed_read::{LastReceived, ObservedRead},
+    },
     capnp::message::ReaderOptions,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
-    futures::io::{BufReader, BufWriter},
+    futures::{
+        future::{Either, select},
+        io::{BufReader, BufWriter},
+    },
     jujubeline_coordination::claims::ResolveReply,
     jujubeline_protocol::{
         MAX_RPC_WORDS,
@@ -20,13 +26,18 @@
         cell::{Cell, RefCell},
         collections::HashMap,
         net::SocketAddr,
+        pin::pin,
         rc::Rc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
         net::TcpStream,
         task::{AbortHandle, JoinSet},
-        time::timeout_at,
+        time::{sleep_until, timeout_at},
     },
     tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
@@ -37,6 +48,10 @@
 /// Time without calls after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time without a byte from the peer after which a call on a kept connection counts as unanswered. A change of the
+/// configuration must be pulled within a second, also if all kept connections have gone silent.
+const SILENCE: Duration = Duration::from_millis(300);
+
 /// Limits for messages from another node.
 pub(super) const READER_OPTIONS: ReaderOptions = ReaderOptions {
     traversal_limit_in_words: Some(MAX_RPC_WORDS),
@@ -48,10 +63,11 @@
     stream: TcpStream,
     side: Side,
     bootstrap: Option<capnp::capability::Client>,
+    received: &LastReceived,
 ) -> RpcSystem<Side> {
     let (read, write) = stream.into_split();
     let network = VatNetwork::new(
-        BufReader::new(read.compat()),
+        BufReader::new(ObservedRead::new(read, received).compat()),
         BufWriter::new(write.compat_write()),
         side,
         READER_OPTIONS,
@@ -65,9 +81,24 @@
 struct Connection {
     client: node::Client,
     last_used: Cell<Instant>,
+    last_received: LastReceived,
     task: AbortHandle,
 }
 
+impl Connection {
+    /// Returns when the peer has sent nothing for [`SILENCE`] after a call was sent.
+    async fn falls_silent(&self, sent: Instant) {
+        loop {
+            let last = self.last_received.get().map_or(sent, |last| last.max(sent));
+            let silent_at = last + SILENCE;
+            if Instant::now() >= silent_at {
+                return;
+            }
+            sleep_until(silent_at.into()).await;
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -79,9 +110,33 @@
 pub(super) struct Connections {
     open: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
     tasks: RefCell<JoinSet<()>>,
+    counts: Arc<CallCounts>,
+}
+
+/// Counters of calls to other nodes.
+#[derive(Debug, Default)]
+pub struct CallCounts {
+    /// Calls on kept connections that got no byte from the peer in time. The connection is not used again.
+    pub silent: AtomicU64,
+    /// Calls among them that were repeated on a new connection.
+    pub repeated: AtomicU64,
+    /// Repeated calls that were answered on the new connection first.
+    pub answered_anew: AtomicU64,
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
 }
 
 impl Connections {
+    /// No connections, with counters that outlive them.
+    pub(super) fn new(counts: Arc<CallCounts>) -> Self {
+        Self {
+            counts,
+            ..Self::default()
+        }
+    }
+
     /// Makes one call. A connection that is closed, or on which a call gets no reply in time, is not used again, since
     /// it may never answer.
     pub(super) async fn call(
@@ -95,10 +150,8 @@
             Ok(Err(error)) => return Err(not_sent(&error)),
             Err(_) => return Err(not_sent(&"no connection before the deadline")),
         };
-        connection.last_used.set(Instant::now());
-        let replied = timeout_at(deadline.into(), send(&connection.client, request)).await;
-        connection.last_used.set(Instant::now());
-        match replied {
+        let replied = self.send_watched(to, &connection, request);
+        match timeout_at(deadline.into(), replied).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(error)) => {
                 if error.kind == capnp::ErrorKind::Disconnected {
@@ -113,6 +166,54 @@
         }
     }
 
+    /// Sends a request. If the peer then sends nothing, the connection may have gone silent for good, which no error
+    /// shows: it is not used for other calls, and a read is repeated on a new connection, whichever answers first. A slow
+    /// peer sends some bytes; its reply is waited for.
+    async fn send_watched(
+        &self,
+        to: SocketAddr,
+        connection: &Rc<Connection>,
+        request: Request,
+    ) -> Result<Reply, capnp::Error> {
+        let sent = Instant::now();
+        let is_new = connection.last_received.is_none();
+        connection.last_used.set(sent);
+        let repeated = request.is_read().then(|| request.clone());
+        let mut first = pin!(send(&connection.client, request));
+        if !is_new {
+            tokio::select! {
+                replied = &mut first => {
+                    connection.last_used.set(Instant::now());
+                    return replied;
+                }
+                () = connection.falls_silent(sent) => {
+                    count(&self.counts.silent);
+                    self.remove_connection(to, connection);
+                }
+            }
+        }
+        let Some(repeated) = repeated.filter(|_| !is_new) else {
+            let replied = first.await;
+            connection.last_used.set(Instant::now());
+            return replied;
+        };
+        count(&self.counts.repeated);
+        let second = pin!(async {
+            let connection = self.connection(to).await.map_err(capnp::Error::failed)?;
+            connection.last_used.set(Instant::now());
+            send(&connection.client, repeated).await
+        });
+        match select(first, second).await {
+            Either::Left((Ok(reply), _)) => Ok(reply),
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Ok(reply), _)) => {
+                count(&self.counts.answered_anew);
+                Ok(reply)
+            }
+            Either::Right((Err(_), first)) => first.await,
+        }
+    }
+
     /// Closes idle connections, and joins tasks that have ended.
     pub(super) fn sweep(&self, now: Instant) {
         self.open.borrow_mut().retain(|_, connection| {
@@ -149,7 +250,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let mut system = system(stream, Side::Client, None);
+        let last_received = LastReceived::default();
+        let mut system = system(stream, Side::Client, None, &last_received);
         let client: node::Client = system.bootstrap(Side::Server);
         let task = self.tasks.borrow_mut().spawn_local(async move {
             if let Err(error) = system.await {
@@ -159,6 +261,7 @@
         let connection = Rc::new(Connection {
             client,
             last_used: Cell::new(Instant::now()),
+            last_received,
             task,
         });
         self.open.borrow_mut().insert(to, Rc::clone(&connection));
--- a/crates/node/src/control/rpc/mod.rs
+++ b/crates/node/src/control/rpc/mod.rs
@@ -2,12 +2,14 @@
 
 mod call;
 mod connections;
+mod observed_read;
 mod peers;
 mod server;
 mod thread;
 
 pub use {
     call::{ClaimsCall, ClaimsReply},
+    connections::CallCounts,
     peers::Peers,
 };
 pub(super) use {
--- a/crates/node/src/control/rpc/peers.rs
+++ b/crates/node/src/control/rpc/peers.rs
@@ -1,13 +1,16 @@
 //! Calls to other nodes from any task.
 
 use {
-    super::call::{CallFailure, ClaimsReply, Command, Reply, Request},
+    super::{
+        call::{CallFailure, ClaimsReply, Command, Reply, Request},
+        connections::CallCounts,
+    },
     crate::control::error::{ControlError, ControlResult, report},
     jujubeline_catalogue::Difference,
     jujubeline_coordination::membership::Member,
     jujubeline_core::{Peer, Revision, Step},
     jujubeline_protocol::claims::ClaimCall,
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::sync::{mpsc, oneshot},
 };
 
@@ -15,11 +18,18 @@
 #[derive(Debug, Clone)]
 pub struct Peers {
     commands: mpsc::Sender<Command>,
+    counts: Arc<CallCounts>,
 }
 
 impl Peers {
-    pub(super) const fn new(commands: mpsc::Sender<Command>) -> Self {
-        Self { commands }
+    pub(super) const fn new(commands: mpsc::Sender<Command>, counts: Arc<CallCounts>) -> Self {
+        Self { commands, counts }
+    }
+
+    /// Counters of calls on connections that went silent.
+    #[must_use]
+    pub fn counts(&self) -> Arc<CallCounts> {
+        Arc::clone(&self.counts)
     }
 
     /// Members that the peer lists in the buckets that differ from `digest`; all members that it lists if `digest` is
--- a/crates/node/src/control/rpc/thread.rs
+++ b/crates/node/src/control/rpc/thread.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         call::{CallFailure, Command},
-        connections::{Connections, system},
+        connections::{CallCounts, Connections, system},
+        observed_read::LastReceived,
         peers::Peers,
         server::{self, NodeServer, Services},
     },
@@ -14,6 +15,7 @@
     std::{
         cell::Cell,
         rc::Rc,
+        sync::Arc,
         thread::JoinHandle,
         time::{Duration, Instant},
     },
@@ -69,6 +71,8 @@
     stopping: CancellationToken,
 ) -> ControlResult<(RpcThread, Peers)> {
     let (sender, commands) = mpsc::channel(MAX_WAITING_COMMANDS);
+    let counts = Arc::<CallCounts>::default();
+    let counted = Arc::clone(&counts);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -77,16 +81,20 @@
         .name("jujubeline-rpc".to_owned())
         .spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(listener, services, commands, stopping));
+            local.block_on(
+                &runtime,
+                run(listener, services, commands, counted, stopping),
+            );
         })
         .map_err(|error| failed(&error))?;
-    Ok((RpcThread { thread }, Peers::new(sender)))
+    Ok((RpcThread { thread }, Peers::new(sender, counts)))
 }
 
 async fn run(
     listener: std::net::TcpListener,
     services: Services,
     mut commands: mpsc::Receiver<Command>,
+    counts: Arc<CallCounts>,
     stopping: CancellationToken,
 ) {
     let listener = match TcpListener::from_std(listener) {
@@ -97,7 +105,7 @@
         }
     };
     let inbound_calls = Rc::new(Semaphore::new(server::MAX_CALLS));
-    let connections = Rc::new(Connections::default());
+    let connections = Rc::new(Connections::new(counts));
     let mut calls = JoinSet::new();
     let mut inbound = JoinSet::new();
     let mut sweep = interval(SWEEP_PERIOD);
@@ -138,7 +146,8 @@
     let last_used = Rc::new(Cell::new(tokio::time::Instant::now()));
     let server = NodeServer::new(services, calls, Rc::clone(&last_used));
     let client: node::Client = capnp_rpc::new_client(server);
-    let system = system(stream, Side::Server, Some(client.client));
+    let received = LastReceived::default();
+    let system = system(stream, Side::Server, Some(client.client), &received);
     let idle = async {
         while last_used.get().elapsed() < INBOUND_IDLE_TIMEOUT {
             tokio::time::sleep_until(last_used.get() + INBOUND_IDLE_TIMEOUT).await;
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -4,7 +4,7 @@
     super::Metrics,
     crate::{
         Views,
-        control::{Control, DatagramCounts, MembershipHandle, PullCounts},
+        control::{CallCounts, Control, DatagramCounts, MembershipHandle, PullCounts},
         error::{NodeError, NodeResult, report},
         target_tracker::TargetTracker,
     },
@@ -145,6 +145,7 @@
         observe_membership(&meter, &control.membership());
         observe_datagrams(&meter, &control.datagrams());
         observe_pulls(&meter, control.pulls());
+        observe_silent_calls(&meter, control.peers().counts());
         if let Some(platform) = control.platform() {
             observe_platform(&meter, platform);
         }
@@ -357,6 +358,24 @@
         .build();
 }
 
+fn observe_silent_calls(meter: &Meter, counts: Arc<CallCounts>) {
+    meter
+        .u64_observable_counter("jujubeline_silent_calls")
+        .with_description("Calls to other nodes on kept connections that went silent, by step.")
+        .with_callback(move |observer| {
+            let steps = [
+                ("unanswered", &counts.silent),
+                ("repeated", &counts.repeated),
+                ("answered_anew", &counts.answered_anew),
+            ];
+            for (step, count) in steps {
+                let label = [KeyValue::new("step", step)];
+                observer.observe(count.load(Ordering::Relaxed), &label);
+            }
+        })
+        .build();
+}
+
 fn observe_platform(meter: &Meter, platform: PlatformClient) {
     let restored = platform.clone();
     meter
--- a/crates/node/tests/replication.rs
+++ b/crates/node/tests/replication.rs
@@ -222,3 +222,101 @@
     watchers_are_cut_from_the_platform: (Faults { cut: true, ..Faults::default() }),
     watchers_get_no_answer_of_the_platform: (Faults { delay_ms: 10_000, ..Faults::default() }),
 }
+
+/// A node whose connections with other nodes, and with the platform, lead through relays.
+struct RelayedNode {
+    control: Control,
+    peers: FaultRelay,
+    platform: FaultRelay,
+}
+
+impl RelayedNode {
+    async fn start(number: usize, platform: SocketAddr) -> Self {
+        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let control_address = free.local_addr().unwrap();
+        drop(free);
+        let peers = FaultRelay::start(control_address).await.unwrap();
+        let platform = FaultRelay::start(platform).await.unwrap();
+        let settings = NodeSettings {
+            platform_address: Some(platform.address()),
+            target_address: Some((Ipv4Addr::LOCALHOST, 1).into()),
+            control_address,
+            advertised_control_address: Some(peers.address()),
+            stop_grace: Duration::from_secs(1),
+            ..NodeSettings::on_loopback(&format!("node-{number}"), "kingston-1", "schedules")
+        };
+        let control = Control::start(&settings, SystemTime::now()).await.unwrap();
+        Self {
+            control,
+            peers,
+            platform,
+        }
+    }
+
+    async fn stop(self) {
+        self.control.stop().await;
+        self.peers.stop().await;
+        self.platform.stop().await;
+    }
+}
+
+/// Guards against a change that takes effect late because the connections that are open at that moment have gone silent
+/// for good: all those between nodes, and those of all nodes but one that watches the platform. Datagrams and new
+/// connections work.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_takes_effect_in_time_beside_silent_connections() {
+    const NODES: usize = 8;
+    let platform = PlatformStandin::start_local().await.unwrap();
+    let operator = PlatformClient::new(PlatformSettings::new(platform.address()));
+    write_change(&operator, 1).await;
+    let mut relayed = Vec::new();
+    for number in 0..NODES {
+        relayed.push(RelayedNode::start(number, platform.address()).await);
+    }
+    for node in &relayed {
+        let mut members = node.control.views().members;
+        let all = members.wait_for(|all| all.len() == NODES);
+        timeout(APPLY_BOUND * 10, all).await.unwrap().unwrap();
+        wait_for_revision(&node.control, 1, APPLY_BOUND * 5).await;
+    }
+    // Each node asks each other, so that all connections between them are open and have been answered on.
+    for node in &relayed {
+        for peer in &relayed {
+            let calls = node.control.peers();
+            let asked = calls.catalogue_since(peer.peers.address(), 0, APPLY_BOUND);
+            asked.await.expect("a reply");
+        }
+    }
+    let silent = Faults {
+        silence_open: true,
+        ..Faults::default()
+    };
+    let spared = relayed
+        .iter()
+        .position(|node| {
+            let members = node.control.views().members.borrow().clone();
+            let address = node.peers.address();
+            let own = members
+                .iter()
+                .find(|member| member.control_address == address);
+            watches_platform(own.unwrap(), &members)
+        })
+        .expect("a node that watches");
+    for (number, node) in relayed.iter().enumerate() {
+        node.peers.set(silent.clone());
+        if number != spared {
+            node.platform.set(silent.clone());
+        }
+    }
+    write_change(&operator, 2).await;
+    let written = Instant::now();
+    for node in &relayed {
+        let left = (APPLY_BOUND / 2).saturating_sub(written.elapsed());
+        wait_for_revision(&node.control, 2, left).await;
+    }
+    println!("in effect everywhere after {:?}", written.elapsed());
+    for node in relayed {
+        node.stop().await;
+    }
+    platform.stop().await;
+}
