Accept configurations of up to 16,384 routes

Cause: CatalogueState refused larger states as a whole, which the log names ("catalogue revision ... is refused").

Change: the bound is 16,384 entries, and 17,408 in a message between nodes; the tables by entry at the gate follow.

--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -21,8 +21,9 @@
 /// revision gets the full state.
 const MAX_RECENT_REVISIONS: usize = 64;
 
-/// Maximum number of entries in a catalogue that a node accepts.
-pub const MAX_ENTRIES: usize = 4_096;
+/// Maximum number of entries in a catalogue that a node accepts: more than the routes of usual length that fit into a
+/// configuration of the largest size that the platform stores, 1 MiB.
+pub const MAX_ENTRIES: usize = 16_384;
 
 /// Maximum number of retired instances in a catalogue that a node accepts.
 pub const MAX_RETIRED: usize = 16_384;
--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -224,6 +224,42 @@
         assert!(written.contains("200 OK"), "{written}");
     }
 
+    /// Replaces the configuration by one with this many routes, whose paths are `/r/NUMBER/`.
+    pub fn write_many_routes(&self, count: usize) {
+        let row = |number| {
+            let prefix = format!("/r/{number}/");
+            json!([
+                format!("r{number}"),
+                "a.example",
+                prefix,
+                "safe",
+                5_000,
+                2,
+                2,
+                "schedules"
+            ])
+        };
+        let rows: Vec<_> = (0..count).map(row).collect();
+        let object = json!({"metadata": {"name": "main"}, "spec": {
+            "version": "0000000d",
+            "routes": {
+                "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "service"],
+                "rows": rows,
+            },
+            "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
+        }});
+        let body = object.to_string();
+        let length = body.len();
+        let written = exchange(
+            self.store.address(),
+            &format!(
+                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            ),
+        );
+        assert!(written.contains("200 OK"), "{written}");
+    }
+
     /// Sends a heartbeat of a process with its start, its number and its state.
     pub fn heartbeat(&self, process: &str, born_ms: u64, sequence: u64, state: &str) {
         let heartbeat = json!({
--- a/crates/overload/src/admission/call_levels.rs
+++ b/crates/overload/src/admission/call_levels.rs
@@ -7,7 +7,7 @@
 };
 
 /// Capacity of the table, the same number of entries as in [`EntryLimit`](crate::EntryLimit).
-const MAX_ENTRIES: usize = 4_096;
+const MAX_ENTRIES: usize = 16_384;
 
 /// Admission levels of the services that the local target calls, by catalogue entry. Each level decays within a second.
 ///
--- a/crates/overload/src/admission/entry_limit.rs
+++ b/crates/overload/src/admission/entry_limit.rs
@@ -3,7 +3,7 @@
 use {jujubeline_core::EntryName, std::collections::HashMap};
 
 /// Capacity of the table, equal to the largest number of entries in a catalogue.
-const MAX_ENTRIES: usize = 4_096;
+const MAX_ENTRIES: usize = 16_384;
 
 /// Index of an entry in the table. It is valid until [`EntryLimit::reclaim`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/protocol/src/bounds.rs
+++ b/crates/protocol/src/bounds.rs
@@ -19,9 +19,9 @@
 /// Limit of the members in one reply to `members`.
 pub(crate) const MAX_MEMBERS: usize = 16_384;
 
-/// Limit of the entries set, and of those removed, in one difference: all entries (4,096) and all tombstones (1,024) of
+/// Limit of the entries set, and of those removed, in one difference: all entries (16,384) and all tombstones (1,024) of
 /// a node.
-pub(crate) const MAX_ENTRIES: usize = 4_096 + 1_024;
+pub(crate) const MAX_ENTRIES: usize = 16_384 + 1_024;
 
 /// Limit of the instances retired, and of those reinstated, in one difference.
 pub(crate) const MAX_INSTANCES: usize = 16_384;
