Record a target's process from its heartbeat if it has no health check

Cause: the confirmation of a process waited for the path of a health check.

Change: it waits for the first configuration; if that names no health check for the service, the heartbeat alone decides, as it did before.

Evidence: target_without_a_health_check_gets_work fails on the commit before ("no target is known") and passes.

--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -169,15 +169,20 @@
 
     /// A fleet whose target works on each request for this time.
     pub fn ready_with_work(work: Duration) -> Self {
-        Self::ready_with(work, Faults::default())
+        Self::ready_with(work, Faults::default(), Some("/health"))
+    }
+
+    /// A fleet whose configuration names no health check of the targets.
+    pub fn ready_without_health_check() -> Self {
+        Self::ready_with(WORK, Faults::default(), None)
     }
 
     /// A fleet that starts while the store has these faults.
     pub fn ready_with_faults(faults: Faults) -> Self {
-        Self::ready_with(WORK, faults)
+        Self::ready_with(WORK, faults, Some("/health"))
     }
 
-    fn ready_with(work: Duration, faults: Faults) -> Self {
+    fn ready_with(work: Duration, faults: Faults, health_path: Option<&str>) -> Self {
         let runtime = Runtime::new().unwrap();
         let store = runtime.block_on(PlatformStandin::start_local()).unwrap();
         store.set_faults(faults);
@@ -192,7 +197,7 @@
             store,
             _runtime: runtime,
         };
-        fleet.write_configuration();
+        fleet.write_configuration(health_path);
         fleet.heartbeat("i-1", 10, 1, READY);
         fleet.wait_until_known();
         fleet
@@ -205,7 +210,7 @@
         self.gate = launch(&self.store, "gate", "schedules", self.target.address);
     }
 
-    fn write_configuration(&self) {
+    fn write_configuration(&self, health_path: Option<&str>) {
         let object = json!({"metadata": {"name": "main"}, "spec": {
             "version": "0000000c",
             "routes": {
@@ -217,7 +222,7 @@
             },
             "services": {
                 "columns": ["name", "healthPath", "maxConnections"],
-                "rows": [["schedules", "/health", 640], ["billing", "/health", 640]],
+                "rows": [["schedules", health_path, 640], ["billing", health_path, 640]],
             },
         }});
         let written = post(self.store.address(), "/api/objects/config", &object);
--- a/crates/daemon/tests/target_processes.rs
+++ b/crates/daemon/tests/target_processes.rs
@@ -76,3 +76,15 @@
         assert_eq!(arrivals_of_requests(&fleet), 0, "process {process}");
     }
 }
+
+/// Guards against a target that gets no work because no health check can confirm its process.
+#[test]
+fn target_without_a_health_check_gets_work() {
+    let mut fleet = Fleet::ready_without_health_check();
+    wait_until_served(&fleet);
+    fleet.restart_gate();
+    fleet.heartbeat("i-1", 10, 2, READY);
+    wait_until_served(&fleet);
+    fleet.heartbeat("i-1", 10, 3, DRAINING);
+    assert_eq!(arrivals_of_requests(&fleet), 0);
+}
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -271,15 +271,16 @@
         if self.settings.dialect.probe_process.is_none() {
             return;
         }
-        let mut target = self.views.local_target.subscribe();
-        let described = target.wait_for(|target| target.health_path.is_some());
-        if described.await.is_err() {
+        let mut catalogue = self.views.catalogue.clone();
+        let is_known = catalogue.wait_for(|catalogue| catalogue.revision() > 0);
+        if is_known.await.is_err() {
             return;
         }
         sleep(PROBE_DELAY).await;
         let tracker = &self.entry.gate.tracker;
         if !tracker.knows_process()
-            && let Some(answer) = self.check_target(address).await
+            && let Some(path) = self.health_path()
+            && let Some(answer) = self.check_target(address, &path).await
             && let Some(process) = answer.process.filter(|_| answer.is_healthy)
         {
             let slots = answer.slots.unwrap_or(self.settings.target_slots);
@@ -308,7 +309,11 @@
                 );
                 last_asked = Some(asked.clone());
             }
-            let answer = self.check_target(address).await;
+            let answer = match self.health_path() {
+                Some(path) => self.check_target(address, &path).await,
+                // A target that has no health check cannot be asked.
+                None => Some(ProbeResponse::unnamed_healthy()),
+            };
             let answer = answer.map(|answer| HealthAnswer {
                 process: answer.process,
                 is_healthy: answer.is_healthy,
@@ -318,9 +323,15 @@
         }
     }
 
-    async fn check_target(&self, address: SocketAddr) -> Option<ProbeResponse> {
-        let path = self.views.local_target.borrow().health_path.clone()?;
-        probe_target(address, &path, &self.settings.dialect).await
+    /// Path of the target's health check in the configuration in effect; none if it names no path.
+    fn health_path(&self) -> Option<String> {
+        let catalogue = self.views.catalogue.borrow();
+        let limit = catalogue.service_limit(&self.settings.service)?;
+        limit.health_path.clone()
+    }
+
+    async fn check_target(&self, address: SocketAddr, path: &str) -> Option<ProbeResponse> {
+        probe_target(address, path, &self.settings.dialect).await
     }
 }
 
--- a/crates/node/src/ops/target_probe.rs
+++ b/crates/node/src/ops/target_probe.rs
@@ -25,6 +25,17 @@
     pub slots: Option<u32>,
 }
 
+impl ProbeResponse {
+    /// What is assumed of a target that has no health check.
+    pub const fn unnamed_healthy() -> Self {
+        Self {
+            process: None,
+            is_healthy: true,
+            slots: None,
+        }
+    }
+}
+
 /// Calls the health check of a target; none when the target does not answer in time.
 pub async fn probe_target(
     address: SocketAddr,
