Decode each member of a table or datagram on its own

Not seen on a deployment; shown by tests.

Cause: a table of members and the updates of a datagram were decoded as one value. One member with an invalid name, a name that is too long, a control character, no service or an address of the wrong length made the whole message invalid. A node would then have dropped each datagram that passes on such a member, answered no ping, and taken its peers for dead.

Change: members are decoded one by one. What cannot be read is left out, counted (jujubeline_members_unreadable_total) and logged once. A difference of the catalogue is still refused as a whole, since without an entry it would be another configuration.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod header;
 mod ids;
 mod key_hash;
+mod noted_once;
 mod notice;
 mod outcome;
 mod quarantine;
@@ -25,6 +26,7 @@
         Region, Revision, RootId, ServiceName, ShardId,
     },
     key_hash::{ROOT_SLOTS, rendezvous_weight, root_slot, stable_hash},
+    noted_once::NotedOnce,
     notice::{AnnouncedState, Heartbeat, TargetNotice},
     outcome::{NotRunProof, Outcome, Refusal},
     quarantine::{CRASHES_TO_QUARANTINE, QUARANTINE_TIME},
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod quarantines;
 mod rpc;
 mod udp;
+mod unreadable_members;
 
 pub use {
     catalogue_actor::CatalogueHandle,
@@ -22,4 +23,5 @@
     pull::PullCounts,
     rpc::{CallCounts, ClaimsCall, ClaimsReply, Peers},
     udp::DatagramCounts,
+    unreadable_members::UnreadableMembers,
 };
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -12,6 +12,7 @@
         quarantines,
         rpc::{self, ClaimsCall, Peers, RpcThread, Services},
         udp::{self, DatagramCounts},
+        unreadable_members::UnreadableMembers,
     },
     crate::{CatalogueSource, LocalTarget, NodeSettings, Views},
     jujubeline_catalogue::CatalogueState,
@@ -65,6 +66,7 @@
     peers: Peers,
     claims: Arc<OnceLock<mpsc::Sender<ClaimsCall>>>,
     datagrams: Arc<DatagramCounts>,
+    unreadable_members: Arc<UnreadableMembers>,
     pulls: Arc<PullCounts>,
     address: SocketAddr,
     tasks: Tasks,
@@ -123,6 +125,7 @@
             .unwrap_or(control_address);
         let socket = Arc::new(socket);
         let datagrams = Arc::new(DatagramCounts::default());
+        let unreadable_members = Arc::new(UnreadableMembers::default());
         let pull_counts = Arc::new(PullCounts::default());
         let sender = udp::Sender::new(Arc::clone(&socket), Arc::clone(&datagrams));
 
@@ -144,7 +147,8 @@
             catalogue: catalogue.clone(),
             claims: Arc::clone(&claims),
         };
-        let (rpc, peers) = rpc::start(listener, services, tasks.stopping.clone())?;
+        let (unreadable, stopping) = (Arc::clone(&unreadable_members), tasks.stopping.clone());
+        let (rpc, peers) = rpc::start(listener, services, unreadable, stopping)?;
 
         let (local_target, target_changes) = watch::channel(LocalTarget::initial(settings));
         let local_target = Arc::new(local_target);
@@ -152,6 +156,7 @@
             socket,
             membership.clone(),
             Arc::clone(&datagrams),
+            Arc::clone(&unreadable_members),
         ));
         tasks.spawn(tick(membership.clone()));
         tasks.spawn(follow_target(membership.clone(), target_changes));
@@ -205,6 +210,7 @@
             peers,
             claims,
             datagrams,
+            unreadable_members,
             pulls: pull_counts,
             address: control_address,
             tasks,
@@ -255,6 +261,12 @@
         Arc::clone(&self.datagrams)
     }
 
+    /// Members from other nodes that could not be read.
+    #[must_use]
+    pub fn unreadable_members(&self) -> Arc<UnreadableMembers> {
+        Arc::clone(&self.unreadable_members)
+    }
+
     /// Counters of catalogue pulls from other nodes.
     #[must_use]
     pub fn pulls(&self) -> Arc<PullCounts> {
--- a/crates/node/src/control/rpc/call.rs
+++ b/crates/node/src/control/rpc/call.rs
@@ -8,7 +8,10 @@
         membership::Member,
     },
     jujubeline_core::Revision,
-    jujubeline_protocol::claims::{ClaimAnswer, ClaimCall},
+    jujubeline_protocol::{
+        Decoded,
+        claims::{ClaimAnswer, ClaimCall},
+    },
     std::{net::SocketAddr, time::Duration},
     tokio::sync::oneshot,
 };
@@ -31,7 +34,7 @@
 /// Reply of another node.
 #[derive(Debug)]
 pub(super) enum Reply {
-    Members(Vec<Member>),
+    Members(Decoded<Vec<Member>>),
     Difference(Difference),
     Claims(ClaimsReply),
 }
--- a/crates/node/src/control/rpc/peers.rs
+++ b/crates/node/src/control/rpc/peers.rs
@@ -5,7 +5,10 @@
         call::{CallFailure, ClaimsReply, Command, Reply, Request},
         connections::CallCounts,
     },
-    crate::control::error::{ControlError, ControlResult, report},
+    crate::control::{
+        error::{ControlError, ControlResult, report},
+        unreadable_members::UnreadableMembers,
+    },
     jujubeline_catalogue::Difference,
     jujubeline_coordination::membership::Member,
     jujubeline_core::{Peer, Revision, Step},
@@ -19,11 +22,20 @@
 pub struct Peers {
     commands: mpsc::Sender<Command>,
     counts: Arc<CallCounts>,
+    unreadable: Arc<UnreadableMembers>,
 }
 
 impl Peers {
-    pub(super) const fn new(commands: mpsc::Sender<Command>, counts: Arc<CallCounts>) -> Self {
-        Self { commands, counts }
+    pub(super) const fn new(
+        commands: mpsc::Sender<Command>,
+        counts: Arc<CallCounts>,
+        unreadable: Arc<UnreadableMembers>,
+    ) -> Self {
+        Self {
+            commands,
+            counts,
+            unreadable,
+        }
     }
 
     /// Counters of calls on connections that went silent.
@@ -33,7 +45,7 @@
     }
 
     /// Members that the peer lists in the buckets that differ from `digest`; all members that it lists if `digest` is
-    /// empty.
+    /// empty. Those that cannot be read are left out.
     ///
     /// # Errors
     ///
@@ -46,7 +58,7 @@
     ) -> ControlResult<Vec<Member>> {
         let request = Request::Members(digest);
         match self.call(to, Step::Membership, request, deadline).await? {
-            Reply::Members(members) => Ok(members),
+            Reply::Members(members) => Ok(self.unreadable.note(to, members)),
             _ => Err(unexpected(to, Step::Membership)),
         }
     }
--- a/crates/node/src/control/rpc/thread.rs
+++ b/crates/node/src/control/rpc/thread.rs
@@ -8,7 +8,10 @@
         peers::Peers,
         server::{self, NodeServer, Services},
     },
-    crate::control::error::{ControlError, ControlResult, report},
+    crate::control::{
+        error::{ControlError, ControlResult, report},
+        unreadable_members::UnreadableMembers,
+    },
     capnp_rpc::rpc_twoparty_capnp::Side,
     jujubeline_core::{Peer, Step},
     jujubeline_protocol::node_capnp::node,
@@ -68,6 +71,7 @@
 pub(in crate::control) fn start(
     listener: std::net::TcpListener,
     services: Services,
+    unreadable: Arc<UnreadableMembers>,
     stopping: CancellationToken,
 ) -> ControlResult<(RpcThread, Peers)> {
     let (sender, commands) = mpsc::channel(MAX_WAITING_COMMANDS);
@@ -87,7 +91,7 @@
             );
         })
         .map_err(|error| failed(&error))?;
-    Ok((RpcThread { thread }, Peers::new(sender, counts)))
+    Ok((RpcThread { thread }, Peers::new(sender, counts, unreadable)))
 }
 
 async fn run(
--- a/crates/node/src/control/udp.rs
+++ b/crates/node/src/control/udp.rs
@@ -4,6 +4,7 @@
     super::{
         error::{ControlError, ControlResult, report},
         membership_actor::MembershipHandle,
+        unreadable_members::UnreadableMembers,
     },
     jujubeline_coordination::membership::{Datagram, MAX_DATAGRAM_BYTES},
     jujubeline_core::{Peer, Step},
@@ -92,6 +93,7 @@
     socket: Arc<UdpSocket>,
     membership: MembershipHandle,
     counts: Arc<DatagramCounts>,
+    unreadable: Arc<UnreadableMembers>,
 ) {
     // One byte more than allowed, so that a longer datagram is detected as too long.
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -102,7 +104,8 @@
             continue;
         };
         match decode_datagram(&buffer[..len]) {
-            Ok(datagram) => {
+            Ok(decoded) => {
+                let datagram = unreadable.note(from, decoded);
                 if !membership.deliver_datagram(from, datagram) {
                     counts.overflowed.fetch_add(1, Ordering::Relaxed);
                 }
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -4,7 +4,9 @@
     super::Metrics,
     crate::{
         Views,
-        control::{CallCounts, Control, DatagramCounts, MembershipHandle, PullCounts},
+        control::{
+            CallCounts, Control, DatagramCounts, MembershipHandle, PullCounts, UnreadableMembers,
+        },
         error::{NodeError, NodeResult, report},
         target_tracker::TargetTracker,
     },
@@ -144,6 +146,7 @@
         let meter = self.provider.meter("jujubeline");
         observe_membership(&meter, &control.membership());
         observe_datagrams(&meter, &control.datagrams());
+        observe_unreadable_members(&meter, control.unreadable_members());
         observe_pulls(&meter, control.pulls());
         observe_silent_calls(&meter, control.peers().counts());
         if let Some(platform) = control.platform() {
@@ -338,6 +341,14 @@
         .build();
 }
 
+fn observe_unreadable_members(meter: &Meter, unreadable: Arc<UnreadableMembers>) {
+    meter
+        .u64_observable_counter("jujubeline_members_unreadable")
+        .with_description("Members from other nodes that could not be read and were left out.")
+        .with_callback(move |observer| observer.observe(unreadable.count(), &[]))
+        .build();
+}
+
 fn observe_pulls(meter: &Meter, counts: Arc<PullCounts>) {
     meter
         .u64_observable_counter("jujubeline_catalogue_pulls")
--- a/crates/protocol/src/datagram.rs
+++ b/crates/protocol/src/datagram.rs
@@ -4,7 +4,7 @@
     crate::{
         ProtocolError, address,
         bounds::{check_size, list_len, name},
-        member,
+        member::{self, Decoded, UnreadableMember, decode_each},
         node_capnp::{crash_report, datagram, presence_claim, update},
     },
     capnp::{
@@ -41,13 +41,13 @@
     Ok(bytes)
 }
 
-/// Decodes a datagram from packed bytes.
+/// Decodes a datagram from packed bytes. Updates about members that cannot be read are left out.
 ///
 /// # Errors
 ///
 /// When the bytes are longer than [`MAX_DATAGRAM_BYTES`], are not a message of the schema, unpack to more than 16 KiB
-/// or hold invalid values.
-pub fn decode_datagram(bytes: &[u8]) -> Result<Datagram, ProtocolError> {
+/// or hold invalid values outside of the updates.
+pub fn decode_datagram(bytes: &[u8]) -> Result<Decoded<Datagram>, ProtocolError> {
     check_size("datagram", bytes.len(), MAX_DATAGRAM_BYTES)?;
     let options = ReaderOptions {
         traversal_limit_in_words: Some(MAX_DATAGRAM_WORDS),
@@ -107,8 +107,9 @@
     }
 }
 
-fn read(reader: datagram::Reader<'_>) -> Result<Datagram, ProtocolError> {
-    Ok(Datagram {
+fn read(reader: datagram::Reader<'_>) -> Result<Decoded<Datagram>, ProtocolError> {
+    let updates = read_updates(reader.get_updates()?)?;
+    let datagram = Datagram {
         sender: name("datagram.sender", reader.get_sender()?)?,
         incarnation: reader.get_incarnation(),
         catalogue_revision: reader.get_catalogue_revision(),
@@ -120,23 +121,34 @@
             datagram::kind::Nack(()) => DatagramKind::Nack,
             datagram::kind::Hint(()) => DatagramKind::Hint,
         },
-        updates: read_updates(reader.get_updates()?)?,
+        updates: updates.value,
         crashes: read_crashes(reader.get_crashes()?)?,
+    };
+    Ok(Decoded {
+        value: datagram,
+        unreadable: updates.unreadable,
     })
 }
 
 fn read_updates(
     list: struct_list::Reader<'_, update::Owned>,
-) -> Result<Vec<Update>, ProtocolError> {
+) -> Result<Decoded<Vec<Update>>, ProtocolError> {
     check_size("updates", list.len() as usize, MAX_UPDATES)?;
-    list.iter()
-        .map(|update| {
-            Ok(match update.which()? {
-                update::Described(member) => Update::Described(Arc::new(member::read(member?)?)),
-                update::Claimed(claim) => Update::Claimed(read_claim(claim?)?),
-            })
-        })
-        .collect()
+    Ok(decode_each(list.iter().map(read_update)))
+}
+
+fn read_update(reader: update::Reader<'_>) -> Result<Update, UnreadableMember> {
+    let unnamed = |error| UnreadableMember { node: None, error };
+    match reader.which().map_err(|error| unnamed(error.into()))? {
+        update::Described(member) => {
+            let member = member.map_err(|error| unnamed(error.into()))?;
+            Ok(Update::Described(Arc::new(member::read(member)?)))
+        }
+        update::Claimed(claim) => {
+            let claim = claim.map_err(ProtocolError::from).and_then(read_claim);
+            Ok(Update::Claimed(claim.map_err(unnamed)?))
+        }
+    }
 }
 
 fn read_claim(reader: presence_claim::Reader<'_>) -> Result<PresenceClaim, ProtocolError> {
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, Error};
 
 /// Why a message cannot be encoded or decoded.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, Error)]
 pub enum ProtocolError {
     /// The bytes are not a message of the schema, or hold an enum value or union variant that this version lacks.
     #[display("malformed message: {detail}")]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -24,5 +24,5 @@
     catalogue::{read_difference, write_difference},
     datagram::{decode_datagram, encode_datagram},
     error::ProtocolError,
-    member::{read_members, write_members},
+    member::{Decoded, UnreadableMember, read_members, write_members},
 };
--- a/crates/protocol/src/member.rs
+++ b/crates/protocol/src/member.rs
@@ -8,8 +8,28 @@
     },
     capnp::struct_list,
     jujubeline_coordination::membership::{Member, Presence, TargetState},
+    jujubeline_core::NodeId,
 };
 
+/// A decoded message, without the members that cannot be read. Members are independent of each other, so one that cannot
+/// be read must not hide the others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decoded<T> {
+    /// The message.
+    pub value: T,
+    /// Members that were left out.
+    pub unreadable: Vec<UnreadableMember>,
+}
+
+/// A member that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct UnreadableMember {
+    /// Node of the member, if it can be read.
+    pub node: Option<NodeId>,
+    /// Why the member cannot be read.
+    pub error: ProtocolError,
+}
+
 pub(crate) fn write(mut builder: member::Builder<'_>, member: &Member) {
     builder.set_node(&*member.node);
     builder.set_incarnation(member.incarnation);
@@ -29,7 +49,16 @@
     builder.set_platform_unreachable(member.platform_unreachable);
 }
 
-pub(crate) fn read(reader: member::Reader<'_>) -> Result<Member, ProtocolError> {
+/// Reads a member.
+pub(crate) fn read(reader: member::Reader<'_>) -> Result<Member, UnreadableMember> {
+    read_fields(reader).map_err(|error| {
+        let node = reader.get_node().map_err(ProtocolError::from);
+        let node = node.and_then(|node| name("member.node", node)).ok();
+        UnreadableMember { node, error }
+    })
+}
+
+fn read_fields(reader: member::Reader<'_>) -> Result<Member, ProtocolError> {
     Ok(Member {
         node: name("member.node", reader.get_node()?)?,
         incarnation: reader.get_incarnation(),
@@ -63,16 +92,27 @@
     Ok(())
 }
 
-/// Reads a list of members.
+/// Reads a list of members. Those with an invalid name, address, state or presence are left out.
 ///
 /// # Errors
 ///
-/// When there are more than 16,384 members, or a member has an invalid name, address, state or presence.
+/// When there are more than 16,384 members.
 pub fn read_members(
     list: struct_list::Reader<'_, member::Owned>,
-) -> Result<Vec<Member>, ProtocolError> {
+) -> Result<Decoded<Vec<Member>>, ProtocolError> {
     check_size("members", list.len() as usize, MAX_MEMBERS)?;
-    list.iter().map(read).collect()
+    Ok(decode_each(list.iter().map(read)))
+}
+
+/// Separates the members that can be read from the others.
+pub(crate) fn decode_each<T>(
+    read: impl Iterator<Item = Result<T, UnreadableMember>>,
+) -> Decoded<Vec<T>> {
+    let mut unreadable = Vec::new();
+    let value = read
+        .filter_map(|member| member.map_err(|error| unreadable.push(error)).ok())
+        .collect();
+    Decoded { value, unreadable }
 }
 
 const fn target_state_to_wire(state: TargetState) -> node_capnp::TargetState {
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -151,7 +151,8 @@
             bytes.len(),
             datagram.0.max_bytes()
         );
-        decode_datagram(&bytes).as_ref() == Ok(&datagram.0)
+        decode_datagram(&bytes)
+            .is_ok_and(|decoded| decoded.value == datagram.0 && decoded.unreadable.is_empty())
     }
     QuickCheck::new()
         .tests(20_000)
