Repeat endless bytes in their test until other callers are answered

Cause: the test asks that at least three requests of other callers are answered while 100 callers get endless bytes, but the callers ask once each. A node gives up bytes that are no answer at once. In the run that failed, all 100 requests had ended after 95 ms, in which two other requests fit; nothing was refused and nothing was late. In the other cases of that run, the shortest phases took 88 to 115 ms with three or four requests. So the test failed the node for being quick.

Change: each of the 100 callers repeats its request, under a new id, until three other requests are answered, so three are always required while endless bytes come. The other bounds are unchanged and hold for each of the repeated requests.

--- a/crates/daemon/tests/endless_bytes.rs
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -11,7 +11,7 @@
         net::{SocketAddr, TcpStream},
         sync::{
             Mutex, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -30,6 +30,9 @@
 /// Time that the callers allow, and time after it within which their connections must end.
 const DEADLINE_MS: u64 = 1_500;
 const END_SLACK: Duration = Duration::from_secs(3);
+/// Requests of other callers that must be answered while endless bytes come. The callers of these repeat their requests
+/// until then, because a node may give up all of the first ones within a tenth of a second.
+const MIN_OTHERS: usize = 3;
 /// Memory of the smallest machine of the deployments, which a node shares with the rest of the system.
 const MAX_NODE_KB: u64 = 160 * 1_024;
 
@@ -45,11 +48,11 @@
 }
 
 /// Reads until the connection ends. Returns how long it took.
-fn read_endless(callers: SocketAddr, number: usize) -> Duration {
+fn read_endless(callers: SocketAddr, number: usize, round: usize) -> Duration {
     let sent = Instant::now();
     let mut stream = TcpStream::connect(callers).unwrap();
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-    let request = head(&format!("/safe/endless/{number}"), DEADLINE_MS);
+    let request = head(&format!("/safe/endless/{number}/{round}"), DEADLINE_MS);
     stream.write_all(request.as_bytes()).unwrap();
     let is_slow = number.is_multiple_of(SLOW_READER_SHARE);
     let mut chunk = vec![0; if is_slow { SLOW_READ_BYTES } else { 64 * 1_024 }];
@@ -92,15 +95,27 @@
         wait_until_served(edge);
         fleet.target.send_endless(start, rest);
         let is_over = AtomicBool::new(false);
+        let answered = AtomicUsize::new(0);
         let (longest, others) = thread::scope(|scope| {
+            let read_while_others_send = |number| {
+                let mut longest = Duration::ZERO;
+                for round in 0.. {
+                    longest = longest.max(read_endless(edge, number, round));
+                    if answered.load(Ordering::Relaxed) >= MIN_OTHERS {
+                        break;
+                    }
+                }
+                longest
+            };
             let endless: Vec<_> = (0..ENDLESS_CALLERS)
-                .map(|number| scope.spawn(move || read_endless(edge, number)))
+                .map(|number| scope.spawn(move || read_while_others_send(number)))
                 .collect();
             let others = scope.spawn(|| {
                 let mut answers = Vec::new();
                 while !is_over.load(Ordering::Relaxed) {
                     let path = format!("/well/{}", answers.len());
                     answers.push(exchange(edge, &head(&path, 3_000)));
+                    answered.store(answers.len(), Ordering::Relaxed);
                     thread::sleep(POLL_INTERVAL);
                 }
                 answers
@@ -113,7 +128,7 @@
         assert!(longest <= allowed, "a request took {longest:?}");
         let served = others.iter().filter(|answer| answer.starts_with("HTTP/1.1 200")).count();
         assert_eq!(served, others.len(), "other callers are not served");
-        assert!(served >= 3, "{served} other requests");
+        assert!(served >= MIN_OTHERS, "{served} other requests");
         for daemon in [&mut fleet.edge, &mut fleet.gate, &mut billing] {
             assert!(daemon.child.try_wait().unwrap().is_none(), "a node has ended");
             let peak_kb = peak_memory_kb(daemon);
