Limit bodies between two nodes by their own windows only

Cause: the streams of an HTTP/2 connection between two nodes shared 16 MB of flow control, and each could hold 1 MB. A node gives room back only when the reader of a body takes bytes, so sixteen bodies that nobody read stopped all others.

Change: the connection's window is the largest of the protocol, so a body is limited by the window of its own stream alone. That window is 128 KB, so that what a node holds for a body that is not read falls from 1 MB. Bulk bodies between regions get slower: 1.2 MB/s at a round trip of 110 ms, by calculation; nothing in force has such bodies.

--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -20,6 +20,10 @@
 /// States in heartbeats.
 pub const READY: &str = "ready";
 pub const DRAINING: &str = "draining";
+/// Size of the answers to requests below `/safe/body/`.
+pub const ANSWER_BYTES: usize = 6_000;
+/// Size of the answers to requests below `/safe/large/`, which no buffers on the way can hold.
+const LARGE_ANSWER_BYTES: usize = 64 << 20;
 /// Time for which the target works on a request if the test states no other.
 const WORK: Duration = Duration::from_millis(200);
 
@@ -129,6 +133,19 @@
             send_without_end(&mut stream, &bytes);
             return;
         }
+        if head.starts_with("POST /safe/unread/") {
+            // Longer than any deadline.
+            thread::sleep(WAIT_TIMEOUT);
+            return;
+        }
+        if head.contains(" /safe/body/") {
+            answer_with_body(&mut stream, &head, &mut buffer, ANSWER_BYTES);
+            return;
+        }
+        if head.contains(" /safe/large/") {
+            answer_with_body(&mut stream, &head, &mut buffer, LARGE_ANSWER_BYTES);
+            return;
+        }
         let id = head
             .lines()
             .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
@@ -145,6 +162,33 @@
     }
 }
 
+/// Reads the body of a request, and answers it with a body of this size.
+fn answer_with_body(stream: &mut TcpStream, head: &str, read: &mut Vec<u8>, answer_bytes: usize) {
+    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+    let id = field("x-jujubeline-attempt-id: ").unwrap_or_default();
+    let length = field("content-length: ").map_or(0, |length| length.parse().unwrap());
+    let mut chunk = [0; 4_096];
+    while read.len() < length {
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => read.extend_from_slice(&chunk[..count]),
+        }
+    }
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nx-jujubeline-attempt-id: {id}\r\ncontent-length: {answer_bytes}\r\n\
+         connection: close\r\n\r\n"
+    );
+    let body = vec![b'b'; answer_bytes.min(chunk.len())];
+    // The node may give the request up before the end.
+    let mut sent = stream.write_all(answer.as_bytes());
+    let mut left_bytes = answer_bytes;
+    while sent.is_ok() && left_bytes > 0 {
+        let count = left_bytes.min(body.len());
+        sent = stream.write_all(&body[..count]);
+        left_bytes -= count;
+    }
+}
+
 fn send_without_end(stream: &mut TcpStream, bytes: &EndlessBytes) {
     let chunk = bytes.rest.repeat(16 * 1_024 / bytes.rest.len());
     let mut sent = stream.write_all(bytes.start.as_bytes());
--- a/crates/node/src/data/peers.rs
+++ b/crates/node/src/data/peers.rs
@@ -36,10 +36,12 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout for the acknowledgement of the PING, after which the connection is replaced.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
-/// Flow-control window of a stream. It covers the bandwidth-delay product between data centres, 1 GB/s times 1 ms.
-pub const STREAM_WINDOW_BYTES: u32 = 1 << 20;
-/// Flow-control window of a connection, shared by its streams.
-pub const CONNECTION_WINDOW_BYTES: u32 = 1 << 24;
+/// Flow-control window of a stream, the most that a node holds of a body that is not read. It covers the bandwidth-delay
+/// product between data centres, 1 Gbit/s times 1 ms.
+pub const STREAM_WINDOW_BYTES: u32 = 1 << 17;
+/// Flow-control window of a connection, the largest of the protocol. Only the windows of the streams limit what is sent:
+/// bodies that are not read would otherwise use up the window of all others on the connection.
+pub const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 /// Bound on the fields of a head over HTTP/2, each counted with 32 bytes more (RFC 9113, section 6.5.2). It fits any head
 /// that is accepted over HTTP/1.1, with the fields that nodes add. The default of 16 KB does not.
 pub const MAX_HEADER_LIST_BYTES: u32 = 64 * 1_024;
