--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -1,13 +1,13 @@
 //! The content of a catalogue, without revisions.
 
 use {
-    crate::{Edit, Entry},
-    jujubeline_core::{EntryName, NodeId},
+    crate::{Edit, Entry, Workspace},
+    jujubeline_core::{EntryName, NodeId, WorkspaceName},
     serde::Serialize,
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// Entries and retired instances, by name.
+/// Entries, retired instances and workspaces, by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Catalogue {
     /// Instances that are permanently gone.
@@ -15,6 +15,13 @@
     /// Entries by name, each under its own name.
     #[serde(rename = "entry", serialize_with = "entries_as_list")]
     pub entries: BTreeMap<EntryName, Entry>,
+    /// Workspaces by name, each under its own name.
+    #[serde(
+        rename = "workspace",
+        serialize_with = "workspaces_as_list",
+        skip_serializing_if = "BTreeMap::is_empty"
+    )]
+    pub workspaces: BTreeMap<WorkspaceName, Workspace>,
 }
 
 impl Catalogue {
@@ -39,10 +46,22 @@
             .retired
             .difference(&target.retired)
             .map(|instance| Edit::Reinstate(instance.clone()));
+        let removed_workspaces = self
+            .workspaces
+            .keys()
+            .filter(|name| !target.workspaces.contains_key(*name))
+            .map(|name| Edit::RemoveWorkspace(name.clone()));
+        let set_workspaces = target
+            .workspaces
+            .values()
+            .filter(|workspace| self.workspaces.get(&workspace.name) != Some(workspace))
+            .map(|workspace| Edit::SetWorkspace(workspace.clone()));
         removed
             .chain(set)
             .chain(retired)
             .chain(reinstated)
+            .chain(removed_workspaces)
+            .chain(set_workspaces)
             .collect()
     }
 
@@ -62,3 +81,10 @@
 ) -> Result<S::Ok, S::Error> {
     serializer.collect_seq(entries.values())
 }
+
+fn workspaces_as_list<S: serde::Serializer>(
+    workspaces: &BTreeMap<WorkspaceName, Workspace>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(workspaces.values())
+}
--- a/crates/catalogue/src/change.rs
+++ b/crates/catalogue/src/change.rs
@@ -1,8 +1,8 @@
 //! Changes of the catalogue and their edits.
 
 use {
-    crate::Entry,
-    jujubeline_core::{EntryName, NodeId, Revision},
+    crate::{Entry, Workspace},
+    jujubeline_core::{EntryName, NodeId, Revision, WorkspaceName},
     serde::{Deserialize, Serialize},
     std::collections::HashSet,
 };
@@ -10,7 +10,7 @@
 /// Random id of a change. A writer whose write has an unknown outcome recognises its own change by this id.
 pub type ChangeId = String;
 
-/// One edit: sets or removes an entry, or retires or reinstates an instance.
+/// One edit: sets or removes an entry or a workspace, or retires or reinstates an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Edit {
@@ -22,15 +22,21 @@
     Retire(NodeId),
     /// Withdraws the retirement of an instance.
     Reinstate(NodeId),
+    /// Adds or replaces a workspace.
+    SetWorkspace(Workspace),
+    /// Removes a workspace, so that its keys are no longer accepted.
+    RemoveWorkspace(WorkspaceName),
 }
 
-/// The entry or instance that an edit changes. Entries and instances have separate namespaces.
+/// The entry, instance or workspace that an edit changes. Each kind has a namespace of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum EditSubject<'a> {
     /// The entry with this name.
     Entry(&'a EntryName),
     /// The instance with this name.
     Instance(&'a NodeId),
+    /// The workspace with this name.
+    Workspace(&'a WorkspaceName),
 }
 
 impl Edit {
@@ -41,6 +47,8 @@
             Self::Set(entry) => EditSubject::Entry(&entry.name),
             Self::Remove(name) => EditSubject::Entry(name),
             Self::Retire(instance) | Self::Reinstate(instance) => EditSubject::Instance(instance),
+            Self::SetWorkspace(workspace) => EditSubject::Workspace(&workspace.name),
+            Self::RemoveWorkspace(name) => EditSubject::Workspace(name),
         }
     }
 }
--- a/crates/catalogue/src/configured.rs
+++ b/crates/catalogue/src/configured.rs
@@ -98,6 +98,7 @@
             concurrency: MAX_CONCURRENCY,
             at_most_once: true,
             keyed: false,
+            public: false,
             prefer: Preference::default(),
             unreadable: true,
         };
--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -68,6 +68,9 @@
     /// Without keys a repetition by the caller is a separate request, and only the nodes must not repeat it.
     #[serde(default = "keyed", skip_serializing_if = "is_true")]
     pub keyed: bool,
+    /// Whether requests need no key, although the catalogue has workspaces.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
     /// What to prefer under overload.
     #[serde(default)]
     pub prefer: Preference,
@@ -128,3 +131,11 @@
 const fn is_true(flag: &bool) -> bool {
     *flag
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
--- a/crates/catalogue/src/fields.rs
+++ b/crates/catalogue/src/fields.rs
@@ -123,6 +123,35 @@
         self.required_integer(name)
     }
 
+    /// A whole or decimal number.
+    pub(crate) fn optional_number(&mut self, name: &str) -> Option<f64> {
+        let value = self.take(name)?;
+        let parsed = match value.get_ref() {
+            DeValue::Integer(number) => number.as_str().parse().ok(),
+            DeValue::Float(number) => number.as_str().parse().ok(),
+            _ => None,
+        };
+        if parsed.is_none() {
+            self.add_type_problem(name, "a number", &value);
+        }
+        parsed
+    }
+
+    /// An array of strings; empty when the field is missing.
+    pub(crate) fn texts(&mut self, name: &str) -> Vec<String> {
+        let Some(value) = self.take(name) else {
+            return Vec::new();
+        };
+        let items = value.get_ref().as_array().map(|items| {
+            let text = |item: &Spanned<DeValue<'_>>| item.get_ref().as_str().map(ToOwned::to_owned);
+            items.iter().map(text).collect::<Option<Vec<_>>>()
+        });
+        items.flatten().unwrap_or_else(|| {
+            self.add_type_problem(name, "an array of strings", &value);
+            Vec::new()
+        })
+    }
+
     pub(crate) fn optional_bool(&mut self, name: &str, default: bool) -> Option<bool> {
         let Some(value) = self.take(name) else {
             return Some(default);
--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -6,6 +6,7 @@
         check::{is_valid_name, overlaps},
         fields::{Fields, LocatedProblem},
         state::{MAX_ENTRIES, MAX_RETIRED},
+        workspace_file::read_workspaces,
     },
     derive_more::{Display, Error},
     jujubeline_core::Class,
@@ -83,8 +84,13 @@
 fn read_catalogue(table: DeTable<'_>, catalogue: &mut Catalogue) -> Vec<LocatedProblem> {
     let mut fields = Fields::new(0, "", table);
     read_retired(&mut fields, catalogue);
-    let tables = entry_tables(&mut fields);
+    let tables = tables(&mut fields, "entry");
+    if tables.len() > MAX_ENTRIES {
+        fields.add_problem("entry", &format!("more than {MAX_ENTRIES} entries"));
+    }
+    let workspace_tables = self::tables(&mut fields, "workspace");
     let mut problems = fields.finish();
+    read_workspaces(workspace_tables, catalogue, &mut problems);
     let mut entries = Vec::new();
     for (index, (offset, table)) in tables.into_iter().enumerate() {
         entries.push(read_entry(index, offset, table, &mut problems));
@@ -123,22 +129,20 @@
     }
 }
 
-fn entry_tables<'i>(fields: &mut Fields<'i>) -> Vec<(usize, DeTable<'i>)> {
-    let expected = "an array of tables, each written as [[entry]]";
-    let Some(value) = fields.take("entry") else {
+/// Tables of an array of tables, each with its offset.
+fn tables<'i>(fields: &mut Fields<'i>, name: &str) -> Vec<(usize, DeTable<'i>)> {
+    let expected = format!("an array of tables, each written as [[{name}]]");
+    let Some(value) = fields.take(name) else {
         return Vec::new();
     };
     let DeValue::Array(items) = value.get_ref() else {
-        fields.add_type_problem("entry", expected, &value);
+        fields.add_type_problem(name, &expected, &value);
         return Vec::new();
     };
-    if items.len() > MAX_ENTRIES {
-        fields.add_problem("entry", &format!("more than {MAX_ENTRIES} entries"));
-    }
     let mut tables = Vec::with_capacity(items.len());
     for item in items {
         let Some(table) = item.get_ref().as_table() else {
-            fields.add_type_problem("entry", expected, item);
+            fields.add_type_problem(name, &expected, item);
             continue;
         };
         tables.push((item.span().start, table.clone()));
@@ -194,6 +198,7 @@
         concurrency: saturated(fields.required_integer("concurrency").unwrap_or(1)),
         at_most_once: fields.optional_bool("at_most_once", false).unwrap_or(false),
         keyed: fields.optional_bool("keyed", true).unwrap_or(true),
+        public: fields.optional_bool("public", false).unwrap_or(false),
         unreadable: false,
         prefer: fields
             .labelled_value("prefer", &PREFERENCES, Some(Preference::default()))
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -12,6 +12,8 @@
 mod log;
 mod state;
 mod versions;
+mod workspace;
+mod workspace_file;
 
 pub use {
     catalogue::Catalogue,
@@ -28,4 +30,9 @@
         change_name, replay, revision_of_name,
     },
     state::{CatalogueState, Difference, MAX_ENTRIES, MAX_RETIRED, ServiceLimits, StateError},
+    workspace::{
+        Allowance, InvalidRate, MAX_BURST, MAX_KEYS, MAX_PRIORITY, MAX_RATE_PER_S,
+        MAX_WORKSPACE_KEYS, MAX_WORKSPACES, Rate, SharedKey, Workspace, WorkspaceChanges,
+        shared_keys,
+    },
 };
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        Catalogue, Change, Edit, Entry, ServiceLimit, check, is_valid_name, versions::Versions,
+        Catalogue, Change, Edit, Entry, MAX_KEYS, MAX_WORKSPACES, ServiceLimit, Workspace,
+        WorkspaceChanges, check, is_valid_name, versions::Versions,
     },
     derive_more::{Display, Error},
-    jujubeline_core::{EntryName, NodeId, Revision},
+    jujubeline_core::{EntryName, NodeId, Revision, WorkspaceName},
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashSet, VecDeque},
@@ -48,9 +49,10 @@
         /// Revision in effect.
         in_effect: Revision,
     },
-    /// The result would have too many entries or retired instances.
+    /// The result would have too many entries, retired instances, workspaces or keys.
     #[display(
-        "revision {offered} would bring more than {MAX_ENTRIES} entries or {MAX_RETIRED} retired instances"
+        "revision {offered} would bring more than {MAX_ENTRIES} entries, {MAX_RETIRED} retired instances, \
+         {MAX_WORKSPACES} workspaces or {MAX_KEYS} keys"
     )]
     TooMany {
         /// Revision offered.
@@ -87,6 +89,9 @@
     /// Limits of the services, if they changed since `from`.
     #[serde(skip)]
     pub services: Option<ServiceLimits>,
+    /// Changes of the workspaces since `from`.
+    #[serde(default, skip_serializing_if = "WorkspaceChanges::is_empty")]
+    pub workspaces: WorkspaceChanges,
 }
 
 /// Limits of all services, with the revision that last changed one of them.
@@ -105,6 +110,9 @@
     entries: Versions<Arc<Entry>>,
     retired: Versions<()>,
     services: ServiceLimits,
+    workspaces: Versions<Arc<Workspace>>,
+    /// Whether requests need the key of a workspace, unless their entry is public.
+    keys_required: bool,
     /// The latest revisions that were in effect on this node, oldest first, where configurations replace each other.
     /// `None` where every change follows the previous one.
     recent_revisions: Option<VecDeque<Revision>>,
@@ -156,6 +164,17 @@
         limits.find(|limit| *limit.service == *service)
     }
 
+    /// Workspaces, sorted by name.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.iter().map(|(_, workspace)| workspace)
+    }
+
+    /// Whether requests need the key of a workspace, unless their entry is public.
+    #[must_use]
+    pub const fn keys_required(&self) -> bool {
+        self.keys_required
+    }
+
     /// Whether the operators have declared an instance permanently gone.
     #[must_use]
     pub fn is_retired(&self, instance: &str) -> bool {
@@ -177,6 +196,11 @@
     pub fn catalogue(&self) -> Catalogue {
         Catalogue {
             retired: self.retired().cloned().collect(),
+            workspaces: self
+                .workspaces
+                .iter()
+                .map(|(name, workspace)| (name.clone(), Workspace::clone(workspace)))
+                .collect(),
             entries: self
                 .entries
                 .iter()
@@ -200,6 +224,7 @@
         for edit in &change.edits {
             next.apply_edit(change.revision, edit);
         }
+        next.keys_required = next.workspaces.len() > 0;
         next.revision = change.revision;
         *self = next.validated()?;
         Ok(())
@@ -220,7 +245,8 @@
         Ok(())
     }
 
-    /// Replaces all entries and limits of services by those of a higher revision. Unchanged entries keep their revision.
+    /// Replaces all entries and limits of services by those of a higher revision, and removes all workspaces. Unchanged
+    /// entries keep their revision.
     ///
     /// # Errors
     ///
@@ -230,6 +256,22 @@
         revision: Revision,
         entries: &[Entry],
         services: &[ServiceLimit],
+    ) -> Result<(), StateError> {
+        self.replace_with_workspaces(revision, entries, services, None)
+    }
+
+    /// Replaces all entries, limits of services and workspaces by those of a higher revision. What is unchanged keeps its
+    /// revision. Without workspaces (`None`) requests need no key.
+    ///
+    /// # Errors
+    ///
+    /// When the revision is not higher, an entry or a workspace is invalid or there are too many.
+    pub fn replace_with_workspaces(
+        &mut self,
+        revision: Revision,
+        entries: &[Entry],
+        services: &[ServiceLimit],
+        workspaces: Option<&[Workspace]>,
     ) -> Result<(), StateError> {
         self.check_newer(revision)?;
         let names: HashSet<&EntryName> = entries.iter().map(|entry| &entry.name).collect();
@@ -260,6 +302,8 @@
                     .set(revision, &entry.name, Arc::new(entry.clone()));
             }
         }
+        next.replace_workspaces(revision, workspaces.unwrap_or_default())?;
+        next.keys_required = workspaces.is_some();
         if *next.services.limits != *services {
             next.services = ServiceLimits {
                 revision,
@@ -282,7 +326,8 @@
         let complete_from = self
             .entries
             .complete_from()
-            .max(self.retired.complete_from());
+            .max(self.retired.complete_from())
+            .max(self.workspaces.complete_from());
         let is_unknown_start = self
             .recent_revisions
             .as_ref()
@@ -290,12 +335,11 @@
         if from == 0 || from < complete_from || is_unknown_start {
             return self.full_state();
         }
-        Difference {
-            from,
-            removed: self.entries.removed_since(from),
-            reinstated: self.retired.removed_since(from),
-            ..self.set_since(from)
-        }
+        let mut difference = self.set_since(from);
+        difference.removed = self.entries.removed_since(from);
+        difference.reinstated = self.retired.removed_since(from);
+        difference.workspaces.removed = self.workspaces.removed_since(from);
+        difference
     }
 
     /// The full state as a difference from revision 0, the form of the snapshot at the platform.
@@ -344,6 +388,8 @@
             revision: 0,
             entries: Versions::new(complete_from),
             retired: Versions::new(complete_from),
+            workspaces: Versions::new(complete_from),
+            keys_required: false,
             services: ServiceLimits::default(),
             recent_revisions: None,
         }
@@ -390,6 +436,11 @@
             Edit::Remove(name) => self.entries.remove(revision, name),
             Edit::Retire(instance) => self.retired.set(revision, instance, ()),
             Edit::Reinstate(instance) => self.retired.remove(revision, instance),
+            Edit::SetWorkspace(workspace) => {
+                self.workspaces
+                    .set(revision, &workspace.name, Arc::new(workspace.clone()))
+            }
+            Edit::RemoveWorkspace(name) => self.workspaces.remove(revision, name),
         }
     }
 
@@ -410,6 +461,15 @@
         if let Some(services) = &difference.services {
             self.services = services.clone();
         }
+        let workspaces = &difference.workspaces;
+        for (revision, name) in &workspaces.removed {
+            self.workspaces.remove(*revision, name);
+        }
+        for (revision, workspace) in &workspaces.set {
+            let value = Arc::new(workspace.clone());
+            self.workspaces.set(*revision, &workspace.name, value);
+        }
+        self.keys_required = workspaces.keys_required;
     }
 
     fn set_since(&self, from: Revision) -> Difference {
@@ -431,12 +491,63 @@
             services: Some(&self.services)
                 .filter(|services| services.revision > from)
                 .cloned(),
+            workspaces: WorkspaceChanges {
+                keys_required: self.keys_required,
+                set: self
+                    .workspaces
+                    .set_since(from)
+                    .map(|(revision, _, workspace)| (revision, Workspace::clone(workspace)))
+                    .collect(),
+                removed: Vec::new(),
+            },
         }
     }
 
+    fn replace_workspaces(
+        &mut self,
+        revision: Revision,
+        workspaces: &[Workspace],
+    ) -> Result<(), StateError> {
+        let names: HashSet<&WorkspaceName> = workspaces.iter().map(|one| &one.name).collect();
+        if names.len() < workspaces.len() {
+            let detail = "the name of a workspace occurs twice".to_owned();
+            return Err(invalid(revision, detail));
+        }
+        let removed: Vec<WorkspaceName> = self
+            .workspaces()
+            .map(|workspace| workspace.name.clone())
+            .filter(|name| !names.contains(name))
+            .collect();
+        for name in removed {
+            self.workspaces.remove(revision, &name);
+        }
+        for workspace in workspaces {
+            let known = self.workspaces.get(&workspace.name);
+            if known.is_none_or(|known| **known != *workspace) {
+                let value = Arc::new(workspace.clone());
+                self.workspaces.set(revision, &workspace.name, value);
+            }
+        }
+        Ok(())
+    }
+
+    /// The first violation of a rule by the workspaces, except for keys that two of them hold: such a key identifies
+    /// neither, and the other keys stay in use.
+    fn workspace_problem(&self) -> Option<String> {
+        self.workspaces().find_map(|workspace| {
+            let (field, detail) = workspace.problem()?;
+            Some(format!("workspace {:?}: {field} {detail}", workspace.name))
+        })
+    }
+
     fn validated(mut self) -> Result<Self, StateError> {
         let offered = self.revision;
-        if self.entries.len() > MAX_ENTRIES || self.retired.len() > MAX_RETIRED {
+        let keys: usize = self.workspaces().map(|one| one.keys_sha256.len()).sum();
+        if self.entries.len() > MAX_ENTRIES
+            || self.retired.len() > MAX_RETIRED
+            || self.workspaces.len() > MAX_WORKSPACES
+            || keys > MAX_KEYS
+        {
             return Err(StateError::TooMany { offered });
         }
         if let Some(detail) = check::first_problem(self.entries()) {
@@ -446,7 +557,11 @@
             let detail = format!("{instance:?} is not the name of an instance");
             return Err(invalid(offered, detail));
         }
+        if let Some(detail) = self.workspace_problem() {
+            return Err(invalid(offered, detail));
+        }
         self.entries.evict_tombstones(MAX_TOMBSTONES);
+        self.workspaces.evict_tombstones(MAX_TOMBSTONES);
         self.retired.evict_tombstones(MAX_TOMBSTONES);
         Ok(self)
     }
@@ -459,7 +574,11 @@
         let removed = self.removed.iter().map(|(at, name)| (*at, name));
         self.check_names(set.chain(removed))?;
         let instances = self.retired.iter().chain(&self.reinstated);
-        self.check_names(instances.map(|(at, instance)| (*at, instance)))
+        self.check_names(instances.map(|(at, instance)| (*at, instance)))?;
+        let set = self.workspaces.set.iter();
+        let set = set.map(|(at, workspace)| (*at, &workspace.name));
+        let removed = self.workspaces.removed.iter().map(|(at, name)| (*at, name));
+        self.check_names(set.chain(removed))
     }
 
     fn check_names<'a>(
--- a/crates/catalogue/tests/configured.rs
+++ b/crates/catalogue/tests/configured.rs
@@ -24,6 +24,7 @@
         concurrency: MAX_CONCURRENCY,
         at_most_once: false,
         keyed: false,
+        public: false,
         prefer: Preference::default(),
         unreadable: false,
     }
--- a/crates/catalogue/tests/routes.rs
+++ b/crates/catalogue/tests/routes.rs
@@ -21,6 +21,7 @@
         concurrency: 10,
         at_most_once: false,
         keyed: true,
+        public: false,
         prefer: Preference::Goodput,
         unreadable: false,
     }
--- a/crates/catalogue/tests/state.rs
+++ b/crates/catalogue/tests/state.rs
@@ -190,6 +190,7 @@
         retired: vec![(2, "host-1".into())],
         reinstated: Vec::new(),
         services: None,
+        workspaces: WorkspaceChanges::default(),
     };
     edit(&mut difference);
     difference
--- a/crates/cli/src/change_text.rs
+++ b/crates/cli/src/change_text.rs
@@ -3,7 +3,8 @@
 use {
     crate::{CliError, context::Context, log::stored_changes},
     error_stack::Report,
-    jujubeline_catalogue::{Catalogue, Change, Edit, Entry},
+    jujubeline_catalogue::{Catalogue, Change, Edit},
+    serde::Serialize,
     serde_json::{Value, json},
     std::fmt::Write,
     time::{OffsetDateTime, format_description::well_known::Rfc3339},
@@ -40,6 +41,18 @@
             Edit::Remove(name) => writeln!(text, "  remove {name}"),
             Edit::Retire(instance) => writeln!(text, "  retire instance {instance}"),
             Edit::Reinstate(instance) => writeln!(text, "  reinstate instance {instance}"),
+            Edit::SetWorkspace(workspace) => {
+                let name = &workspace.name;
+                match before.and_then(|before| before.workspaces.get(name)) {
+                    Some(old) => writeln!(
+                        text,
+                        "  change workspace {name}: {}",
+                        changed_fields(old, workspace)
+                    ),
+                    None => writeln!(text, "  set workspace {name}"),
+                }
+            }
+            Edit::RemoveWorkspace(name) => writeln!(text, "  remove workspace {name}"),
         };
     }
     text
@@ -66,7 +79,7 @@
     context.print(&text, &Value::Array(values))
 }
 
-fn changed_fields(old: &Entry, new: &Entry) -> String {
+fn changed_fields<T: Serialize>(old: &T, new: &T) -> String {
     let (Value::Object(old), Value::Object(new)) = (json!(old), json!(new)) else {
         return String::new();
     };
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,8 +1,9 @@
-//! Coordination without a coordination service: membership, catalogue replication, claims and fences.
+//! Coordination without a coordination service: membership, catalogue replication, allowances, claims and fences.
 //!
 //! The package does no I/O. Each function that decides takes the present time as an argument, and the caller sends the
 //! messages that it returns. Another program can embed it without the daemon.
 
+pub mod allowance;
 pub mod claims;
 pub mod membership;
 pub mod replication;
--- a/crates/coordination/src/membership/membership.rs
+++ b/crates/coordination/src/membership/membership.rs
@@ -408,7 +408,8 @@
             }
             DatagramKind::Ack => self.handle_ack(sender, datagram.sequence, now, &mut output),
             DatagramKind::Nack => self.handle_nack(sender, datagram.sequence),
-            DatagramKind::Hint => {}
+            DatagramKind::Hint | DatagramKind::AllowanceAsk(_) | DatagramKind::AllowanceLoan(_) => {
+            }
         }
         self.send_urgent_hints(now, rng, &mut output);
         output
--- a/crates/coordination/src/membership/message.rs
+++ b/crates/coordination/src/membership/message.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Member, Presence},
+    crate::allowance::{AllowanceAsk, AllowanceLoan},
     jujubeline_core::{Fingerprint, Incarnation, NodeId, Revision},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -46,6 +47,10 @@
     Nack,
     /// Carries updates or a new catalogue revision without asking for an answer.
     Hint,
+    /// Asks the owner of a share of an allowance for tokens. Membership itself does not use it.
+    AllowanceAsk(AllowanceAsk),
+    /// Lends tokens of an allowance. Membership itself does not use it.
+    AllowanceLoan(AllowanceLoan),
 }
 
 /// A statement about the presence of a member, without its description.
--- a/crates/coordination/tests/replication.rs
+++ b/crates/coordination/tests/replication.rs
@@ -49,6 +49,7 @@
         retired: Vec::new(),
         reinstated: Vec::new(),
         services: None,
+        workspaces: WorkspaceChanges::default(),
     }
 }
 
--- a/crates/core/src/dialect.rs
+++ b/crates/core/src/dialect.rs
@@ -14,6 +14,8 @@
     pub waiting: u32,
     /// Requests that the target can run concurrently.
     pub slots: u32,
+    /// How long work takes at the target at this moment, in percent of the usual time; `None` when it is not stated.
+    pub pace_percent: Option<u32>,
 }
 
 /// Ids of the attempts on whose behalf an attempt is made.
@@ -45,6 +47,10 @@
     pub read_parent: fn(&str) -> Option<ParentAttempt<'_>>,
     /// Header that names the service of the instance that originated the request.
     pub caller_service: Option<HeaderName>,
+    /// Header with the key of a workspace. It reaches no target.
+    pub workspace_key: HeaderName,
+    /// Header that names the workspace to which a request belongs. Only nodes set it.
+    pub workspace: HeaderName,
     /// Header that names the only process that may run the request.
     pub target_process: Option<HeaderName>,
     /// Header with which a target names its process in the response to a health check.
@@ -79,6 +85,8 @@
             attempt_id: None,
             read_parent: |_| None,
             caller_service: None,
+            workspace_key: HeaderName::from_static(header_names::WORKSPACE_KEY),
+            workspace: HeaderName::from_static(header_names::WORKSPACE),
             target_process: None,
             probe_process: None,
             propagates_exchange_headers: true,
--- a/crates/core/src/header.rs
+++ b/crates/core/src/header.rs
@@ -38,6 +38,10 @@
     pub const RATE_LIMIT: &str = "jujubeline-rate-limit";
     /// What a target states about itself, between nodes.
     pub const TARGET_REPORT: &str = "jujubeline-target-report";
+    /// Key of a workspace, from a caller.
+    pub const WORKSPACE_KEY: &str = "jujubeline-workspace-key";
+    /// Name of the workspace of a request, between nodes and to targets.
+    pub const WORKSPACE: &str = "jujubeline-workspace";
     /// Key of at-most-once work, after the Idempotency-Key draft.
     pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -16,6 +16,9 @@
 /// Name of a service, served by one or more targets.
 pub type ServiceName = Arc<str>;
 
+/// Name of a workspace, a customer whose callers share the targets with those of others.
+pub type WorkspaceName = Arc<str>;
+
 /// Name of a catalogue entry, which stands for one kind of request.
 pub type EntryName = Arc<str>;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod header;
 mod ids;
+mod key_digest;
 mod key_hash;
 mod noted_once;
 mod notice;
@@ -23,8 +24,9 @@
     header::names as header_names,
     ids::{
         Attempt, DataCentre, EntryName, Epoch, Fingerprint, HopId, Incarnation, NodeId, ProcessId,
-        Region, Revision, RootId, ServiceName, ShardId,
+        Region, Revision, RootId, ServiceName, ShardId, WorkspaceName,
     },
+    key_digest::{InvalidKeyDigest, KeyDigest},
     key_hash::{ROOT_SLOTS, rendezvous_weight, root_slot, stable_hash},
     noted_once::NotedOnce,
     notice::{AnnouncedState, Heartbeat, TargetNotice},
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -14,6 +14,18 @@
     KeyReused,
     /// No catalogue entry matches the method and path.
     NoEntry,
+    /// The request needs the key of a workspace and has none.
+    WorkspaceKeyMissing,
+    /// The request has more than one key of a workspace, or one that cannot be read.
+    WorkspaceKeyMalformed,
+    /// No workspace holds the key.
+    WorkspaceKeyUnknown,
+    /// The request without a key names an exchange that is not in flight at this node.
+    ParentUnknown,
+    /// The allowance of the workspace is used up.
+    WorkspaceAllowance,
+    /// No owner of the allowance of the workspace answers.
+    AllowanceUnknown,
     /// No target of the service is known.
     NoTarget,
     /// The node has no catalogue yet.
@@ -72,11 +84,17 @@
 
 impl RefusalReason {
     /// All reasons, in the order of the counters.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 37] = [
         Self::BadRequest,
         Self::KeyMissing,
         Self::KeyReused,
         Self::NoEntry,
+        Self::WorkspaceKeyMissing,
+        Self::WorkspaceKeyMalformed,
+        Self::WorkspaceKeyUnknown,
+        Self::ParentUnknown,
+        Self::WorkspaceAllowance,
+        Self::AllowanceUnknown,
         Self::NoTarget,
         Self::NoCatalogue,
         Self::EntryUnreadable,
@@ -114,6 +132,12 @@
             Self::KeyMissing => "key_missing",
             Self::KeyReused => "key_reused",
             Self::NoEntry => "no_entry",
+            Self::WorkspaceKeyMissing => "workspace_key_missing",
+            Self::WorkspaceKeyMalformed => "workspace_key_malformed",
+            Self::WorkspaceKeyUnknown => "workspace_key_unknown",
+            Self::ParentUnknown => "parent_unknown",
+            Self::WorkspaceAllowance => "workspace_allowance",
+            Self::AllowanceUnknown => "allowance_unknown",
             Self::NoTarget => "no_target",
             Self::NoCatalogue => "no_catalogue",
             Self::EntryUnreadable => "entry_unreadable",
@@ -155,16 +179,21 @@
     pub const fn status(self) -> u16 {
         match self {
             Self::BadRequest | Self::KeyMissing => 400,
+            Self::WorkspaceKeyMissing | Self::WorkspaceKeyMalformed | Self::WorkspaceKeyUnknown => {
+                401
+            }
             Self::NoEntry => 404,
             Self::InProgress => 409,
             Self::AnswerExpired => 410,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
-            Self::EntryLimit => 429,
+            Self::EntryLimit | Self::WorkspaceAllowance => 429,
             Self::Cancelled => 499,
             Self::Internal => 500,
             Self::TargetUnreachable | Self::AnswerCutShort | Self::OutcomeLost => 502,
-            Self::NoTarget
+            Self::ParentUnknown
+            | Self::AllowanceUnknown
+            | Self::NoTarget
             | Self::NoCatalogue
             | Self::EntryUnreadable
             | Self::AdmissionLevel
@@ -192,6 +221,16 @@
             Self::KeyMissing => "The kind of request needs an idempotency key and none was given.",
             Self::KeyReused => "The idempotency key was used before with another request.",
             Self::NoEntry => "No catalogue entry matches the method and path.",
+            Self::WorkspaceKeyMissing => "The request needs the key of a workspace.",
+            Self::WorkspaceKeyMalformed => {
+                "The request has several keys of a workspace, or one that cannot be read."
+            }
+            Self::WorkspaceKeyUnknown => "No workspace holds the key of the request.",
+            Self::ParentUnknown => {
+                "The request has no key and belongs to no exchange that is in flight here."
+            }
+            Self::WorkspaceAllowance => "The allowance of the workspace is used up.",
+            Self::AllowanceUnknown => "No owner of the allowance of the workspace answers.",
             Self::NoTarget => "No target of the service is known.",
             Self::NoCatalogue => "The node has no catalogue yet.",
             Self::EntryUnreadable => "The catalogue entry of this kind of request cannot be read.",
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -218,6 +218,7 @@
         concurrency: CONNECTIONS,
         at_most_once: false,
         keyed: true,
+        public: false,
         prefer: Preference::Goodput,
         unreadable: false,
     };
--- a/crates/node/src/control/catalogue_actor.rs
+++ b/crates/node/src/control/catalogue_actor.rs
@@ -5,6 +5,7 @@
     crate::CatalogueView,
     jujubeline_catalogue::{
         CatalogueState, Change, Difference, Entry, LoggedChange, ServiceLimit, StateError,
+        Workspace,
     },
     jujubeline_core::{Peer, Revision, Step},
     kameo::{
@@ -37,8 +38,13 @@
 /// Applies the difference between this node and a peer or the snapshot.
 struct Merge(Difference);
 
-/// Replaces all entries and limits of services by those of a higher revision.
-struct Replace(Revision, Vec<Entry>, Vec<ServiceLimit>);
+/// Replaces all entries, limits of services and workspaces by those of a higher revision.
+struct Replace(
+    Revision,
+    Vec<Entry>,
+    Vec<ServiceLimit>,
+    Option<Vec<Workspace>>,
+);
 
 impl CatalogueActor {
     fn publish(&self) -> Revision {
@@ -89,7 +95,9 @@
         message: Replace,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        self.state.replace(message.0, &message.1, &message.2)?;
+        let Replace(revision, entries, services, workspaces) = message;
+        self.state
+            .replace_with_workspaces(revision, &entries, &services, workspaces.as_deref())?;
         Ok(self.publish())
     }
 }
@@ -130,19 +138,20 @@
         self.actor.ask(Advance(logged)).await.map_err(into_report)
     }
 
-    /// Replaces all entries and limits of services by those of a higher revision.
+    /// Replaces all entries, limits of services and workspaces by those of a higher revision.
     ///
     /// # Errors
     ///
-    /// When the revision is not higher, an entry is invalid, or the control plane has stopped.
+    /// When the revision is not higher, an entry or a workspace is invalid, or the control plane has stopped.
     pub(super) async fn replace(
         &self,
         revision: Revision,
         entries: Vec<Entry>,
         services: Vec<ServiceLimit>,
+        workspaces: Option<Vec<Workspace>>,
     ) -> ControlResult<Revision> {
         self.actor
-            .ask(Replace(revision, entries, services))
+            .ask(Replace(revision, entries, services, workspaces))
             .await
             .map_err(into_report)
     }
--- a/crates/node/src/control/configuration_follow.rs
+++ b/crates/node/src/control/configuration_follow.rs
@@ -123,12 +123,16 @@
             .problems
             .iter()
             .chain(&configuration.service_problems)
+            .chain(&configuration.workspace_problems)
         {
             log::warn!("catalogue revision {revision} is applied without a part: {problem}");
         }
-        let replaced = self
-            .catalogue
-            .replace(revision, usable.entries, configuration.services);
+        let replaced = self.catalogue.replace(
+            revision,
+            usable.entries,
+            configuration.services,
+            configuration.workspaces,
+        );
         match replaced.await {
             Ok(_) => log::info!("catalogue revision {revision} is in effect"),
             Err(error) => log::warn!("catalogue revision {revision} is refused: {error:#}"),
--- a/crates/node/src/data/catalogue_index.rs
+++ b/crates/node/src/data/catalogue_index.rs
@@ -1,8 +1,8 @@
 //! Index of the catalogue by host, method and path prefix.
 
 use {
-    jujubeline_catalogue::{ANY_METHOD, CatalogueState, Entry},
-    jujubeline_core::{EntryName, Revision},
+    jujubeline_catalogue::{ANY_METHOD, CatalogueState, Entry, Workspace},
+    jujubeline_core::{EntryName, KeyDigest, Revision},
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -26,6 +26,9 @@
     revision: Revision,
     by_route: HashMap<RouteKey, Vec<Node>>,
     by_name: HashMap<EntryName, Arc<Entry>>,
+    /// Workspaces by their keys. A key that two workspaces hold identifies neither.
+    by_key: HashMap<KeyDigest, Option<Arc<Workspace>>>,
+    keys_required: bool,
 }
 
 impl CatalogueIndex {
@@ -50,6 +53,8 @@
             revision: state.revision(),
             by_route,
             by_name,
+            by_key: workspaces_by_key(state),
+            keys_required: state.keys_required(),
         }
     }
 
@@ -65,6 +70,18 @@
         self.by_name.get(name)
     }
 
+    /// Whether requests need the key of a workspace, unless their entry is public.
+    #[must_use]
+    pub const fn keys_required(&self) -> bool {
+        self.keys_required
+    }
+
+    /// The workspace that holds a key.
+    #[must_use]
+    pub fn workspace_of(&self, key: KeyDigest) -> Option<&Arc<Workspace>> {
+        self.by_key.get(&key)?.as_ref()
+    }
+
     /// Finds the entry for a request. Of equally long prefixes, an entry for the host precedes one for any host, and an
     /// entry for the method precedes one for any method.
     #[must_use]
@@ -90,6 +107,19 @@
     }
 }
 
+fn workspaces_by_key(state: &CatalogueState) -> HashMap<KeyDigest, Option<Arc<Workspace>>> {
+    let mut by_key = HashMap::new();
+    for workspace in state.workspaces() {
+        for key in &workspace.keys_sha256 {
+            by_key
+                .entry(*key)
+                .and_modify(|holder| *holder = None)
+                .or_insert_with(|| Some(Arc::clone(workspace)));
+        }
+    }
+    by_key
+}
+
 fn longest_prefix(nodes: &[Node], mut at: Option<usize>, path: &str) -> Option<usize> {
     while let Some(index) = at {
         if path.starts_with(&nodes[index].entry.path_prefix) {
--- a/crates/node/src/data/context.rs
+++ b/crates/node/src/data/context.rs
@@ -3,7 +3,7 @@
 use {
     super::claim_header::ClaimHeader,
     jujubeline_coordination::TargetReport,
-    jujubeline_core::{Class, EntryName, RootId, ServiceName},
+    jujubeline_core::{Class, EntryName, RootId, ServiceName, WorkspaceName},
     std::time::{Duration, Instant},
 };
 
@@ -31,6 +31,8 @@
     pub entry: EntryName,
     /// Service whose targets may run the request.
     pub service: ServiceName,
+    /// Workspace to which the request belongs; none if the catalogue has no workspaces or the entry is public.
+    pub workspace: Option<WorkspaceName>,
     /// Whether the request is a call that a target makes on behalf of an exchange in flight.
     pub is_call: bool,
     /// Whether the request may run more than once, so that a retry needs no proof that it has not run.
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -11,6 +11,7 @@
         forward_headers::{CallerHeaders, clean_request, clean_response_for_caller},
         gate::GateRefusal,
         hops::{CallGuard, Hop, Hops},
+        identity::{Identity, identify},
         load_report::read_load,
         peers::{read_level, retries_unused},
         problem::problem_response,
@@ -26,7 +27,7 @@
         HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header, request,
     },
     hyper::body::Incoming,
-    jujubeline_catalogue::{ANY_METHOD, Entry},
+    jujubeline_catalogue::{ANY_METHOD, Entry, Workspace},
     jujubeline_coordination::{TargetReport, TargetReports},
     jujubeline_core::{
         Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason, RootId,
@@ -96,6 +97,8 @@
     pub allowance: Allowance,
     arrived: Instant,
     hop: Option<Hop>,
+    /// Workspace whose allowance the request uses; none for calls, which are part of their root request.
+    workspace: Option<Arc<Workspace>>,
 }
 
 impl EntryNode {
@@ -185,11 +188,30 @@
         if entry.needs_claim() {
             check_key(&head)?;
         }
-        let parent = self.parent(&head);
+        let identity = identify(
+            &self.routes.index(),
+            &entry,
+            &head.headers,
+            &self.dialect.workspace_key,
+        )
+        .map_err(rejected)?;
+        // Calls carry no key, so a request with one comes from a client, whatever its id looks like.
+        let has_key = matches!(identity, Identity::Workspace(_));
+        let parent = self.parent(&head).filter(|_| !has_key);
         let hop = match &parent {
             Some((parent, _)) => self.hops.find_by_attempt(parent),
+            None if has_key => None,
             None => caller.hop.and_then(|hop| self.hops.get(hop)),
         };
+        if identity == Identity::Missing && hop.is_none() {
+            // After a restart of the node, a call in flight may be the call of an exchange that is no longer known.
+            let is_call = parent.is_some() || caller.hop.is_some();
+            return Err(rejected(if is_call {
+                RefusalReason::ParentUnknown
+            } else {
+                RefusalReason::WorkspaceKeyMissing
+            }));
+        }
         // A draining node still accepts calls on behalf of an exchange in flight, so that the exchange can complete,
         // but not so late that they would be cut off.
         let is_refused = if hop.is_some() {
@@ -207,6 +229,13 @@
         };
         let mut context = context(&entry, &caller, hop.as_ref(), now);
         context.may_repeat = may_repeat(&entry, &head.method);
+        let workspace = match identity {
+            Identity::Workspace(workspace) => {
+                context.workspace = Some(workspace.name.clone());
+                Some(workspace)
+            }
+            Identity::Anonymous | Identity::Missing => None,
+        };
         if let Some((_, root)) = parent {
             context.root = root;
             context.is_call = true;
@@ -225,6 +254,7 @@
             allowance,
             arrived: now,
             hop,
+            workspace,
         })
     }
 
@@ -639,6 +669,7 @@
         class: hop.map_or(entry.class, |hop| hop.class.min(entry.class)),
         entry: entry.name.clone(),
         service: entry.service_at(rand::random()).clone(),
+        workspace: hop.and_then(|hop| hop.workspace.clone()),
         is_call: hop.is_some(),
         may_repeat: false,
         has_alternative: false,
--- a/crates/node/src/data/forward_headers.rs
+++ b/crates/node/src/data/forward_headers.rs
@@ -28,8 +28,9 @@
 ];
 
 /// Headers that only nodes may set. They are removed from requests of callers and responses of targets.
-const INTERNAL_HEADERS: [&str; 13] = [
+const INTERNAL_HEADERS: [&str; 14] = [
     names::SERVICE,
+    names::WORKSPACE,
     names::CALL,
     names::ALTERNATIVE,
     names::MAY_REPEAT,
@@ -108,6 +109,8 @@
 pub fn clean_request(headers: &mut HeaderMap, uri: &Uri, dialect: &Dialect) {
     remove_hop_by_hop(headers);
     headers.remove(&dialect.deadline);
+    headers.remove(&dialect.workspace_key);
+    headers.remove(&dialect.workspace);
     if let Some(name) = &dialect.target_process {
         headers.remove(name);
     }
@@ -171,6 +174,11 @@
     if let Ok(service) = HeaderValue::from_str(&context.service) {
         headers.insert(names::SERVICE, service);
     }
+    if let Some(workspace) = &context.workspace
+        && let Ok(workspace) = HeaderValue::from_str(workspace)
+    {
+        headers.insert(names::WORKSPACE, workspace);
+    }
     if context.is_call {
         headers.insert(names::CALL, HeaderValue::from_static("1"));
     }
@@ -204,6 +212,11 @@
         headers.insert(names::ROOT, hex_value::<32>(context.root));
         headers.insert(names::HOP, hex_value::<16>(u128::from(hop)));
     }
+    if let Some(workspace) = &context.workspace
+        && let Ok(workspace) = HeaderValue::from_str(workspace)
+    {
+        headers.insert(dialect.workspace.clone(), workspace);
+    }
     if let (Some(name), Some(process)) = (&dialect.target_process, process)
         && let Ok(process) = HeaderValue::from_str(process)
     {
@@ -242,6 +255,7 @@
     let retries = parse(headers, names::RETRIES, |text| text.parse().ok())?;
     let entry = parse(headers, names::ENTRY, |text| Some(Arc::from(text)))?;
     let service = parse(headers, names::SERVICE, |text| Some(Arc::from(text)))?;
+    let workspace = parse(headers, names::WORKSPACE, |text| Some(Arc::from(text)))?;
     let claim = parse(headers, names::CLAIM, ClaimHeader::parse)?;
     let missing = malformed;
     let context = ExchangeContext {
@@ -254,6 +268,7 @@
         class: class.ok_or_else(|| missing(names::CLASS))?,
         entry: entry.ok_or_else(|| missing(names::ENTRY))?,
         service: service.ok_or_else(|| missing(names::SERVICE))?,
+        workspace,
         is_call: headers.contains_key(names::CALL),
         may_repeat: headers.contains_key(names::MAY_REPEAT),
         has_alternative: headers.contains_key(names::ALTERNATIVE),
--- a/crates/node/src/data/hops.rs
+++ b/crates/node/src/data/hops.rs
@@ -2,7 +2,7 @@
 
 use {
     super::ExchangeContext,
-    jujubeline_core::{Class, HopId, RootId, stable_hash},
+    jujubeline_core::{Class, HopId, RootId, WorkspaceName, stable_hash},
     jujubeline_overload::{Level, RetryAllowance, RetryGrant, RetryLedger},
     parking_lot::Mutex,
     std::{
@@ -27,6 +27,8 @@
     pub root: RootId,
     /// Class of the inbound exchange.
     pub class: Class,
+    /// Workspace of the inbound exchange.
+    pub workspace: Option<WorkspaceName>,
     /// Cancelled when the inbound exchange ends.
     pub ended: CancellationToken,
 }
@@ -89,6 +91,7 @@
             deadline: context.deadline,
             root: context.root,
             class: context.class,
+            workspace: context.workspace.clone(),
             ended: CancellationToken::new(),
         };
         let mut state = self.state.lock();
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -19,6 +19,7 @@
 mod gate;
 mod gate_server;
 mod hops;
+mod identity;
 mod listener;
 mod load_report;
 mod peers;
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -43,6 +43,7 @@
             concurrency: 80,
             at_most_once: false,
             keyed: true,
+            public: false,
             prefer: Preference::Goodput,
             unreadable: false,
         })],
--- a/crates/node/tests/silent_connections.rs
+++ b/crates/node/tests/silent_connections.rs
@@ -90,6 +90,7 @@
             concurrency: 80,
             at_most_once: false,
             keyed: true,
+            public: false,
             prefer: Preference::Goodput,
             unreadable: false,
         })
--- a/crates/protocol/schema/node.capnp
+++ b/crates/protocol/schema/node.capnp
@@ -70,6 +70,23 @@
   # Time since the crash, in seconds.
 }
 
+struct AllowanceAsk {
+  question @0 :UInt64;
+  workspace @1 :UInt64;
+  # Hash of the name of the workspace.
+  share @2 :UInt8;
+  needed @3 :UInt32;
+  ahead @4 :UInt32;
+  # Tokens beyond the needed ones, for requests that are expected soon.
+}
+
+struct AllowanceLoan {
+  question @0 :UInt64;
+  tokens @1 :UInt32;
+  retryAfterMs @2 :UInt32;
+  # Time until the share has a token again, if it lends fewer than were needed.
+}
+
 struct Datagram {
   sender @0 :Text;
   incarnation @1 :UInt64;
@@ -82,6 +99,8 @@
     ack @6 :Void;
     nack @7 :Void;
     hint @8 :Void;
+    allowanceAsk @11 :AllowanceAsk;
+    allowanceLoan @12 :AllowanceLoan;
   }
   updates @9 :List(Update);
   crashes @10 :List(CrashReport);
@@ -120,6 +139,26 @@
   maxAttempts @14 :UInt32;
   # 0: as many attempts as the retry bound allows.
   unreadable @15 :Bool;
+  public @16 :Bool;
+}
+
+struct KeyDigest {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct Workspace {
+  name @0 :Text;
+  keys @1 :List(KeyDigest);
+  priority @2 :UInt32;
+  rateThousandthsPerS @3 :UInt64;
+  # 0: the requests of the workspace are not limited.
+  burst @4 :UInt32;
+}
+
+struct WorkspaceSet {
+  revision @0 :UInt64;
+  workspace @1 :Workspace;
 }
 
 struct Share {
@@ -152,6 +191,9 @@
   servicesRevision @6 :UInt64;
   # 0: the limits of the services have not changed since from.
   services @7 :List(ServiceLimit);
+  keysRequired @8 :Bool;
+  workspacesSet @9 :List(WorkspaceSet);
+  workspacesRemoved @10 :List(EntryRemoved);
 }
 
 struct ServiceLimit {
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -8,13 +8,14 @@
             MAX_OWNER_BYTES, MAX_PATH_BYTES, MAX_SERVICES, check_size, list_len, name, name_within,
             text,
         },
-        node_capnp::{self, difference, entry, instance_changed},
+        node_capnp::{self, difference, entry, instance_changed, workspace},
     },
     capnp::struct_list,
     jujubeline_catalogue::{
-        Difference, Entry, MAX_SPLIT, Preference, ServiceLimit, ServiceLimits, Share,
+        Allowance, Difference, Entry, MAX_KEYS, MAX_SPLIT, MAX_WORKSPACES, Preference, Rate,
+        ServiceLimit, ServiceLimits, Share, Workspace, WorkspaceChanges,
     },
-    jujubeline_core::{Class, NodeId, Revision},
+    jujubeline_core::{Class, KeyDigest, NodeId, Revision},
 };
 
 /// Writes the difference between two catalogue revisions.
@@ -61,7 +62,7 @@
     if let Some(services) = &difference.services {
         let len = list_len("difference.services", services.limits.len(), MAX_SERVICES)?;
         builder.set_services_revision(services.revision);
-        let mut list = builder.init_services(len);
+        let mut list = builder.reborrow().init_services(len);
         for (index, limit) in (0..).zip(services.limits.iter()) {
             let mut item = list.reborrow().get(index);
             item.set_service(&*limit.service);
@@ -69,9 +70,120 @@
             item.set_health_path(limit.health_path.as_deref().unwrap_or_default());
         }
     }
+    write_workspaces(builder, &difference.workspaces)
+}
+
+/// Limit of the workspaces set, and of those removed, in one difference: all workspaces and all tombstones of a node.
+const MAX_WORKSPACES_LISTED: usize = MAX_WORKSPACES + 1_024;
+
+fn write_workspaces(
+    mut builder: difference::Builder<'_>,
+    changes: &WorkspaceChanges,
+) -> Result<(), ProtocolError> {
+    builder.set_keys_required(changes.keys_required);
+    let len = list_len("workspaces.set", changes.set.len(), MAX_WORKSPACES_LISTED)?;
+    let mut set = builder.reborrow().init_workspaces_set(len);
+    for (index, (revision, workspace)) in (0..).zip(&changes.set) {
+        let mut item = set.reborrow().get(index);
+        item.set_revision(*revision);
+        write_workspace(item.init_workspace(), workspace)?;
+    }
+    let len = list_len(
+        "workspaces.removed",
+        changes.removed.len(),
+        MAX_WORKSPACES_LISTED,
+    )?;
+    let mut removed = builder.init_workspaces_removed(len);
+    for (index, (revision, name)) in (0..).zip(&changes.removed) {
+        let mut item = removed.reborrow().get(index);
+        item.set_revision(*revision);
+        item.set_name(&**name);
+    }
     Ok(())
 }
 
+fn write_workspace(
+    mut builder: workspace::Builder<'_>,
+    workspace: &Workspace,
+) -> Result<(), ProtocolError> {
+    builder.set_name(&*workspace.name);
+    builder.set_priority(workspace.priority);
+    if let Some(allowance) = workspace.allowance {
+        builder.set_rate_thousandths_per_s(allowance.rate_per_s.thousandths());
+        builder.set_burst(allowance.burst);
+    }
+    let len = list_len("workspace.keys", workspace.keys_sha256.len(), MAX_KEYS)?;
+    let mut keys = builder.init_keys(len);
+    for (index, key) in (0..).zip(&workspace.keys_sha256) {
+        let mut item = keys.reborrow().get(index);
+        item.set_high(high(key.to_bits()));
+        item.set_low(low(key.to_bits()));
+    }
+    Ok(())
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the shifted value fits into 64 bits"
+)]
+const fn high(bits: u128) -> u64 {
+    (bits >> 64) as u64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the low half is what is wanted"
+)]
+const fn low(bits: u128) -> u64 {
+    bits as u64
+}
+
+fn read_workspaces(reader: difference::Reader<'_>) -> Result<WorkspaceChanges, ProtocolError> {
+    let set = reader.get_workspaces_set()?;
+    check_size("workspaces.set", set.len() as usize, MAX_WORKSPACES_LISTED)?;
+    let removed = reader.get_workspaces_removed()?;
+    check_size(
+        "workspaces.removed",
+        removed.len() as usize,
+        MAX_WORKSPACES_LISTED,
+    )?;
+    Ok(WorkspaceChanges {
+        keys_required: reader.get_keys_required(),
+        set: set
+            .iter()
+            .map(|item| Ok((item.get_revision(), read_workspace(item.get_workspace()?)?)))
+            .collect::<Result<_, ProtocolError>>()?,
+        removed: removed
+            .iter()
+            .map(|item| {
+                let name = name_within("removed.name", item.get_name()?, MAX_ENTRY_NAME_BYTES)?;
+                Ok((item.get_revision(), name))
+            })
+            .collect::<Result<_, ProtocolError>>()?,
+    })
+}
+
+fn read_workspace(reader: workspace::Reader<'_>) -> Result<Workspace, ProtocolError> {
+    let keys = reader.get_keys()?;
+    check_size("workspace.keys", keys.len() as usize, MAX_KEYS)?;
+    let rate_per_s = Rate::from_thousandths(reader.get_rate_thousandths_per_s());
+    Ok(Workspace {
+        name: name_within("workspace.name", reader.get_name()?, MAX_ENTRY_NAME_BYTES)?,
+        keys_sha256: keys
+            .iter()
+            .map(|key| {
+                let bits = u128::from(key.get_high()) << 64 | u128::from(key.get_low());
+                KeyDigest::from_bits(bits)
+            })
+            .collect(),
+        priority: reader.get_priority(),
+        allowance: (rate_per_s > Rate::default()).then(|| Allowance {
+            rate_per_s,
+            burst: reader.get_burst(),
+        }),
+    })
+}
+
 fn read_services(reader: difference::Reader<'_>) -> Result<Option<ServiceLimits>, ProtocolError> {
     let revision = reader.get_services_revision();
     if revision == 0 {
@@ -146,6 +258,7 @@
         retired: read_instances(reader.get_retired()?)?,
         reinstated: read_instances(reader.get_reinstated()?)?,
         services: read_services(reader)?,
+        workspaces: read_workspaces(reader)?,
     })
 }
 
@@ -173,6 +286,7 @@
     builder.set_unkeyed(!entry.keyed);
     builder.set_max_attempts(entry.max_attempts.unwrap_or(0));
     builder.set_unreadable(entry.unreadable);
+    builder.set_public(entry.public);
     // Catalogue validation limits the number of shares, so the conversion does not fail.
     let count = u32::try_from(entry.split.len()).unwrap_or(u32::MAX);
     let mut shares = builder.init_split(count);
@@ -221,6 +335,7 @@
         max_attempts: Some(reader.get_max_attempts()).filter(|&attempts| attempts > 0),
         keyed: !reader.get_unkeyed(),
         unreadable: reader.get_unreadable(),
+        public: reader.get_public(),
         prefer: match reader.get_prefer()? {
             node_capnp::Preference::Goodput => Preference::Goodput,
             node_capnp::Preference::Recovery => Preference::Recovery,
--- a/crates/protocol/src/datagram.rs
+++ b/crates/protocol/src/datagram.rs
@@ -11,8 +11,12 @@
         message::{Builder, ReaderOptions},
         serialize_packed, struct_list,
     },
-    jujubeline_coordination::membership::{
-        CrashReport, Datagram, DatagramKind, MAX_CRASHES, MAX_DATAGRAM_BYTES, PresenceClaim, Update,
+    jujubeline_coordination::{
+        allowance::{AllowanceAsk, AllowanceLoan},
+        membership::{
+            CrashReport, Datagram, DatagramKind, MAX_CRASHES, MAX_DATAGRAM_BYTES, PresenceClaim,
+            Update,
+        },
     },
     std::{sync::Arc, time::Duration},
 };
@@ -69,6 +73,22 @@
         DatagramKind::Ack => kind.set_ack(()),
         DatagramKind::Nack => kind.set_nack(()),
         DatagramKind::Hint => kind.set_hint(()),
+        DatagramKind::AllowanceAsk(ask) => {
+            let mut builder = kind.init_allowance_ask();
+            builder.set_question(ask.question);
+            builder.set_workspace(ask.workspace);
+            builder.set_share(ask.share);
+            builder.set_needed(ask.needed);
+            builder.set_ahead(ask.ahead);
+        }
+        DatagramKind::AllowanceLoan(loan) => {
+            let mut builder = kind.init_allowance_loan();
+            builder.set_question(loan.question);
+            builder.set_tokens(loan.tokens);
+            // Rounded up, so that no retry is suggested too early.
+            let retry_after_ms = loan.retry_after.as_micros().div_ceil(1_000);
+            builder.set_retry_after_ms(u32::try_from(retry_after_ms).unwrap_or(u32::MAX));
+        }
     }
     if !datagram.updates.is_empty() {
         let len = list_len("updates", datagram.updates.len(), MAX_UPDATES)?;
@@ -120,6 +140,24 @@
             datagram::kind::Ack(()) => DatagramKind::Ack,
             datagram::kind::Nack(()) => DatagramKind::Nack,
             datagram::kind::Hint(()) => DatagramKind::Hint,
+            datagram::kind::AllowanceAsk(ask) => {
+                let ask = ask?;
+                DatagramKind::AllowanceAsk(AllowanceAsk {
+                    question: ask.get_question(),
+                    workspace: ask.get_workspace(),
+                    share: ask.get_share(),
+                    needed: ask.get_needed(),
+                    ahead: ask.get_ahead(),
+                })
+            }
+            datagram::kind::AllowanceLoan(loan) => {
+                let loan = loan?;
+                DatagramKind::AllowanceLoan(AllowanceLoan {
+                    question: loan.get_question(),
+                    tokens: loan.get_tokens(),
+                    retry_after: Duration::from_millis(loan.get_retry_after_ms().into()),
+                })
+            }
         },
         updates: updates.value,
         crashes: read_crashes(reader.get_crashes()?)?,
--- a/crates/protocol/src/node_capnp.rs
+++ b/crates/protocol/src/node_capnp.rs
@@ -1971,7 +1971,7 @@
     }
 }
 
-pub mod datagram {
+pub mod allowance_ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2024,7 +2024,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2033,50 +2033,30 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_sender(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
+        pub fn get_question(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_catalogue_revision(self) -> u64 {
+        pub fn get_workspace(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_kind(self) -> crate::node_capnp::datagram::kind::Reader<'a> {
-            self.reader.into()
-        }
-        #[inline]
-        pub fn get_updates(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::update::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_updates(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_share(self) -> u8 {
+            self.reader.get_data_field::<u8>(16)
         }
         #[inline]
-        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::crash_report::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_needed(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
         }
         #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_ahead(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2127,86 +2107,44 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_sender(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_sender(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_sender(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
+        pub fn get_question(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
+        pub fn set_question(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_catalogue_revision(self) -> u64 {
+        pub fn get_workspace(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_catalogue_revision(&mut self, value: u64)  {
+        pub fn set_workspace(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_sequence(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_kind(self) -> crate::node_capnp::datagram::kind::Builder<'a> {
-            self.builder.into()
-        }
-        #[inline]
-        pub fn init_kind(mut self, ) -> crate::node_capnp::datagram::kind::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 0);
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.into()
-        }
-        #[inline]
-        pub fn get_updates(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::update::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_updates(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::update::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_updates(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::update::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        pub fn get_share(self) -> u8 {
+            self.builder.get_data_field::<u8>(16)
         }
         #[inline]
-        pub fn has_updates(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_share(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(16, value);
         }
         #[inline]
-        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::crash_report::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_needed(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
         }
         #[inline]
-        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::crash_report::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn set_needed(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
         }
         #[inline]
-        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::crash_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        pub fn get_ahead(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
         }
         #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_ahead(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
         }
     }
 
@@ -2217,88 +2155,63 @@
         }
     }
     impl Pipeline  {
-        pub fn get_kind(&self) -> crate::node_capnp::datagram::kind::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(141, 241, 145, 11, 54, 27, 127, 249),
+            ::capnp::word(206, 119, 101, 92, 64, 10, 192, 240),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-            ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 65, 108, 108, 111, 119),
+            ::capnp::word(97, 110, 99, 101, 65, 115, 107, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(243, 165, 221, 157, 244, 57, 112, 150),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(113, 117, 101, 115, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2306,60 +2219,47 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 97, 116, 97, 108, 111, 103, 117),
-            ::capnp::word(101, 82, 101, 118, 105, 115, 105, 111),
-            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
-            ::capnp::word(117, 112, 100, 97, 116, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(59, 85, 136, 58, 186, 97, 155, 169),
+            ::capnp::word(110, 101, 101, 100, 101, 100, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 104, 101, 97, 100, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 196, 182, 206, 222, 70, 54, 224),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::node_capnp::datagram::kind::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::node_capnp::update::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::node_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2373,512 +2273,2232 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,1,4,0,3,5];
-        pub(crate) const TYPE_ID: u64 = 0xf97f_1b36_0b91_f18d;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xf0c0_0a40_5c65_77ce;
     }
+}
 
-    pub mod kind {
-        pub use self::Which::{Ping,PingReq,Ack,Nack,Hint};
+pub mod allowance_loan {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
         }
+    }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
         }
+    }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
         }
+    }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
+    }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
+    }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
+    }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn has_ping_req(&self) -> bool {
-                if self.reader.get_data_field::<u16>(12) != 1 { return false; }
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-                match self.reader.get_data_field::<u16>(12) {
-                    0 => {
-                        ::core::result::Result::Ok(Ping(
-                            ()
-                        ))
-                    }
-                    1 => {
-                        ::core::result::Result::Ok(PingReq(
-                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                        ))
-                    }
-                    2 => {
-                        ::core::result::Result::Ok(Ack(
-                            ()
-                        ))
-                    }
-                    3 => {
-                        ::core::result::Result::Ok(Nack(
-                            ()
-                        ))
-                    }
-                    4 => {
-                        ::core::result::Result::Ok(Hint(
-                            ()
-                        ))
-                    }
-                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-                }
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        #[inline]
+        pub fn get_question(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
+        #[inline]
+        pub fn get_retry_after_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
         }
+    }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
         }
+    }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
         }
+    }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
+    }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
         }
+    }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
 
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn set_ping(&mut self, _value: ())  {
-                self.builder.set_data_field::<u16>(12, 0);
-            }
-            #[inline]
-            pub fn set_ping_req(&mut self, value: crate::node_capnp::address::Reader<'_>) -> ::capnp::Result<()> {
-                self.builder.set_data_field::<u16>(12, 1);
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_ping_req(self, ) -> crate::node_capnp::address::Builder<'a> {
-                self.builder.set_data_field::<u16>(12, 1);
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-            }
-            #[inline]
-            pub fn has_ping_req(&self) -> bool {
-                if self.builder.get_data_field::<u16>(12) != 1 { return false; }
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn set_ack(&mut self, _value: ())  {
-                self.builder.set_data_field::<u16>(12, 2);
-            }
-            #[inline]
-            pub fn set_nack(&mut self, _value: ())  {
-                self.builder.set_data_field::<u16>(12, 3);
-            }
-            #[inline]
-            pub fn set_hint(&mut self, _value: ())  {
-                self.builder.set_data_field::<u16>(12, 4);
-            }
-            #[inline]
-            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
-                match self.builder.get_data_field::<u16>(12) {
-                    0 => {
-                        ::core::result::Result::Ok(Ping(
-                            ()
-                        ))
-                    }
-                    1 => {
-                        ::core::result::Result::Ok(PingReq(
-                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                        ))
-                    }
-                    2 => {
-                        ::core::result::Result::Ok(Ack(
-                            ()
-                        ))
-                    }
-                    3 => {
-                        ::core::result::Result::Ok(Nack(
-                            ()
-                        ))
-                    }
-                    4 => {
-                        ::core::result::Result::Ok(Hint(
-                            ()
-                        ))
-                    }
-                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-                }
-            }
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
-        impl Pipeline  {
+        #[inline]
+        pub fn get_question(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(243, 165, 221, 157, 244, 57, 112, 150),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
-                ::capnp::word(141, 241, 145, 11, 54, 27, 127, 249),
-                ::capnp::word(4, 0, 7, 0, 1, 0, 5, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 107, 105, 110, 100),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 254, 255, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 105, 110, 103, 82, 101, 113, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 43, 188, 148, 252, 186, 104, 222),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 99, 107, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(110, 97, 99, 107, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 105, 110, 116, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::node_capnp::address::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <() as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <() as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <() as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+        #[inline]
+        pub fn set_question(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_retry_after_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_retry_after_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(28, 124, 239, 121, 204, 150, 233, 210),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 65, 108, 108, 111, 119),
+            ::capnp::word(97, 110, 99, 101, 76, 111, 97, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(113, 117, 101, 115, 116, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
+            ::capnp::word(101, 114, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xd2e9_96cc_79ef_7c1c;
+    }
+}
+
+pub mod datagram {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_sender(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_catalogue_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_kind(self) -> crate::node_capnp::datagram::kind::Reader<'a> {
+            self.reader.into()
+        }
+        #[inline]
+        pub fn get_updates(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::update::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_updates(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_sender(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_sender(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_sender(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_catalogue_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_catalogue_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_kind(self) -> crate::node_capnp::datagram::kind::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_kind(mut self, ) -> crate::node_capnp::datagram::kind::Builder<'a> {
+            self.builder.set_data_field::<u16>(12, 0);
+            self.builder.reborrow().get_pointer_field(1).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn get_updates(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::update::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_updates(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::update::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_updates(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::update::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_updates(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::crash_report::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::crash_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_kind(&self) -> crate::node_capnp::datagram::kind::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(141, 241, 145, 11, 54, 27, 127, 249),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+            ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(243, 165, 221, 157, 244, 57, 112, 150),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 116, 97, 108, 111, 103, 117),
+            ::capnp::word(101, 82, 101, 118, 105, 115, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 100, 97, 116, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(59, 85, 136, 58, 186, 97, 155, 169),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 196, 182, 206, 222, 70, 54, 224),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::node_capnp::datagram::kind::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::node_capnp::update::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::node_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,1,4,0,3,5];
+        pub(crate) const TYPE_ID: u64 = 0xf97f_1b36_0b91_f18d;
+    }
+
+    pub mod kind {
+        pub use self::Which::{Ping,PingReq,Ack,Nack,Hint,AllowanceAsk,AllowanceLoan};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn has_ping_req(&self) -> bool {
+                if self.reader.get_data_field::<u16>(12) != 1 { return false; }
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn has_allowance_ask(&self) -> bool {
+                if self.reader.get_data_field::<u16>(12) != 5 { return false; }
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn has_allowance_loan(&self) -> bool {
+                if self.reader.get_data_field::<u16>(12) != 6 { return false; }
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(12) {
+                    0 => {
+                        ::core::result::Result::Ok(Ping(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(PingReq(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(Ack(
+                            ()
+                        ))
+                    }
+                    3 => {
+                        ::core::result::Result::Ok(Nack(
+                            ()
+                        ))
+                    }
+                    4 => {
+                        ::core::result::Result::Ok(Hint(
+                            ()
+                        ))
+                    }
+                    5 => {
+                        ::core::result::Result::Ok(AllowanceAsk(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    6 => {
+                        ::core::result::Result::Ok(AllowanceLoan(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_ping(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(12, 0);
+            }
+            #[inline]
+            pub fn set_ping_req(&mut self, value: crate::node_capnp::address::Reader<'_>) -> ::capnp::Result<()> {
+                self.builder.set_data_field::<u16>(12, 1);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_ping_req(self, ) -> crate::node_capnp::address::Builder<'a> {
+                self.builder.set_data_field::<u16>(12, 1);
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_ping_req(&self) -> bool {
+                if self.builder.get_data_field::<u16>(12) != 1 { return false; }
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn set_ack(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(12, 2);
+            }
+            #[inline]
+            pub fn set_nack(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(12, 3);
+            }
+            #[inline]
+            pub fn set_hint(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(12, 4);
+            }
+            #[inline]
+            pub fn set_allowance_ask(&mut self, value: crate::node_capnp::allowance_ask::Reader<'_>) -> ::capnp::Result<()> {
+                self.builder.set_data_field::<u16>(12, 5);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_allowance_ask(self, ) -> crate::node_capnp::allowance_ask::Builder<'a> {
+                self.builder.set_data_field::<u16>(12, 5);
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_allowance_ask(&self) -> bool {
+                if self.builder.get_data_field::<u16>(12) != 5 { return false; }
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn set_allowance_loan(&mut self, value: crate::node_capnp::allowance_loan::Reader<'_>) -> ::capnp::Result<()> {
+                self.builder.set_data_field::<u16>(12, 6);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_allowance_loan(self, ) -> crate::node_capnp::allowance_loan::Builder<'a> {
+                self.builder.set_data_field::<u16>(12, 6);
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_allowance_loan(&self) -> bool {
+                if self.builder.get_data_field::<u16>(12) != 6 { return false; }
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(12) {
+                    0 => {
+                        ::core::result::Result::Ok(Ping(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(PingReq(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(Ack(
+                            ()
+                        ))
+                    }
+                    3 => {
+                        ::core::result::Result::Ok(Nack(
+                            ()
+                        ))
+                    }
+                    4 => {
+                        ::core::result::Result::Ok(Hint(
+                            ()
+                        ))
+                    }
+                    5 => {
+                        ::core::result::Result::Ok(AllowanceAsk(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    6 => {
+                        ::core::result::Result::Ok(AllowanceLoan(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(243, 165, 221, 157, 244, 57, 112, 150),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(141, 241, 145, 11, 54, 27, 127, 249),
+                ::capnp::word(4, 0, 7, 0, 1, 0, 7, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 107, 105, 110, 100),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(193, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 250, 255, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(201, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 249, 255, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 105, 110, 103, 82, 101, 113, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 43, 188, 148, 252, 186, 104, 222),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 99, 107, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 97, 99, 107, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 105, 110, 116, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 108, 108, 111, 119, 97, 110, 99),
+                ::capnp::word(101, 65, 115, 107, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(206, 119, 101, 92, 64, 10, 192, 240),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 108, 108, 111, 119, 97, 110, 99),
+                ::capnp::word(101, 76, 111, 97, 110, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(28, 124, 239, 121, 204, 150, 233, 210),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::node_capnp::address::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <crate::node_capnp::allowance_ask::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <crate::node_capnp::allowance_loan::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,6,4,3,0,1];
+            pub(crate) const TYPE_ID: u64 = 0x9670_39f4_9ddd_a5f3;
+        }
+        pub enum Which<A0,A1,A2> {
+            Ping(()),
+            PingReq(A0),
+            Ack(()),
+            Nack(()),
+            Hint(()),
+            AllowanceAsk(A1),
+            AllowanceLoan(A2),
+        }
+        pub type WhichReader<'a,> = Which<::capnp::Result<crate::node_capnp::address::Reader<'a>>,::capnp::Result<crate::node_capnp::allowance_ask::Reader<'a>>,::capnp::Result<crate::node_capnp::allowance_loan::Reader<'a>>>;
+        pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::node_capnp::address::Builder<'a>>,::capnp::Result<crate::node_capnp::allowance_ask::Builder<'a>>,::capnp::Result<crate::node_capnp::allowance_loan::Builder<'a>>>;
+    }
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    Critical = 0,
+    High = 1,
+    Normal = 2,
+    Low = 3,
+}
+
+impl ::capnp::introspect::Introspect for Class {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&class::ARENA, class::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Class> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Class) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&class::ARENA, class::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Class {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Class as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Critical),
+            1 => ::core::result::Result::Ok(Self::High),
+            2 => ::core::result::Result::Ok(Self::Normal),
+            3 => ::core::result::Result::Ok(Self::Low),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Class> for u16 {
+    #[inline]
+    fn from(x: Class) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Class {
+    const TYPE_ID: u64 = 0xd29b_76a5_4e8f_6691u64;
+}
+mod class {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(145, 102, 143, 78, 165, 118, 155, 210),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 67, 108, 97, 115, 115),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(99, 114, 105, 116, 105, 99, 97, 108),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 114, 109, 97, 108, 0, 0),
+    ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference {
+    Goodput = 0,
+    Recovery = 1,
+}
+
+impl ::capnp::introspect::Introspect for Preference {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&preference::ARENA, preference::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Preference> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Preference) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&preference::ARENA, preference::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Preference {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Preference as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Goodput),
+            1 => ::core::result::Result::Ok(Self::Recovery),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Preference> for u16 {
+    #[inline]
+    fn from(x: Preference) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Preference {
+    const TYPE_ID: u64 = 0xbe3b_fa37_3780_839cu64;
+}
+mod preference {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 26] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(156, 131, 128, 55, 55, 250, 59, 190),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 80, 114, 101, 102, 101),
+    ::capnp::word(114, 101, 110, 99, 101, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(9, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(103, 111, 111, 100, 112, 117, 116, 0),
+    ::capnp::word(114, 101, 99, 111, 118, 101, 114, 121),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod entry {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_name(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_owner(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_owner(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_method(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_method(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_path_prefix(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_path_prefix(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_class(self) -> ::core::result::Result<crate::node_capnp::Class,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn get_deadline_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_retry_bound(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_concurrency(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_at_most_once(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
+        #[inline]
+        pub fn get_prefer(self) -> ::core::result::Result<crate::node_capnp::Preference,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(10))
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_split(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::share::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_split(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_unkeyed(self) -> bool {
+            self.reader.get_bool_field(17)
+        }
+        #[inline]
+        pub fn get_max_attempts(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_unreadable(self) -> bool {
+            self.reader.get_bool_field(18)
+        }
+        #[inline]
+        pub fn get_public(self) -> bool {
+            self.reader.get_bool_field(19)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 7 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_name(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_owner(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_owner(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_owner(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_owner(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_method(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_method(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_method(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_method(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_path_prefix(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_path_prefix(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_path_prefix(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_path_prefix(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_class(self) -> ::core::result::Result<crate::node_capnp::Class,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn set_class(&mut self, value: crate::node_capnp::Class)  {
+            self.builder.set_data_field::<u16>(0, value as u16);
+        }
+        #[inline]
+        pub fn get_deadline_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_deadline_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_retry_bound(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_retry_bound(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_concurrency(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_concurrency(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_at_most_once(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_at_most_once(&mut self, value: bool)  {
+            self.builder.set_bool_field(16, value);
+        }
+        #[inline]
+        pub fn get_prefer(self) -> ::core::result::Result<crate::node_capnp::Preference,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(10))
+        }
+        #[inline]
+        pub fn set_prefer(&mut self, value: crate::node_capnp::Preference)  {
+            self.builder.set_data_field::<u16>(10, value as u16);
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_split(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::share::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_split(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::share::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_split(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::share::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_split(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_unkeyed(self) -> bool {
+            self.builder.get_bool_field(17)
+        }
+        #[inline]
+        pub fn set_unkeyed(&mut self, value: bool)  {
+            self.builder.set_bool_field(17, value);
+        }
+        #[inline]
+        pub fn get_max_attempts(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_max_attempts(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_unreadable(self) -> bool {
+            self.builder.get_bool_field(18)
+        }
+        #[inline]
+        pub fn set_unreadable(&mut self, value: bool)  {
+            self.builder.set_bool_field(18, value);
+        }
+        #[inline]
+        pub fn get_public(self) -> bool {
+            self.builder.get_bool_field(19)
+        }
+        #[inline]
+        pub fn set_public(&mut self, value: bool)  {
+            self.builder.set_bool_field(19, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 283] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(71, 56, 50, 31, 208, 41, 243, 191),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 119, 110, 101, 114, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 104, 80, 114, 101, 102),
+            ::capnp::word(105, 120, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 115, 115, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 102, 143, 78, 165, 118, 155, 210),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 66, 111, 117),
+            ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 99, 117, 114, 114, 101),
+            ::capnp::word(110, 99, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 77, 111, 115, 116, 79, 110),
+            ::capnp::word(99, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 101, 114, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 131, 128, 55, 55, 250, 59, 190),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 108, 105, 116, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 162, 52, 67, 11, 1, 188, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 107, 101, 121, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 120, 65, 116, 116, 101, 109),
+            ::capnp::word(112, 116, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 100, 97, 98),
+            ::capnp::word(108, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 117, 98, 108, 105, 99, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::node_capnp::Class as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <crate::node_capnp::Preference as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::struct_list::Owned<crate::node_capnp::share::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                16 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,0,1];
-            pub(crate) const TYPE_ID: u64 = 0x9670_39f4_9ddd_a5f3;
         }
-        pub enum Which<A0> {
-            Ping(()),
-            PingReq(A0),
-            Ack(()),
-            Nack(()),
-            Hint(()),
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,8,6,11,14,2,0,1,3,10,16,7,4,12,13,15];
+        pub(crate) const TYPE_ID: u64 = 0xbff3_29d0_1f32_3847;
+    }
+}
+
+pub mod key_digest {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
