Limit workspaces over all nodes by shares that are lent for a time

Cause: nobody counted what a workspace sends through all nodes together.

Change: each workspace's rate and burst are divided into three shares, each with one owner by rendezvous hashing in a data centre of its own. Entry nodes borrow tokens by datagrams; tokens run out 250 ms after the question. Owners begin empty after a start, and members that are only suspect or unreachable keep their shares, so that cuts, pauses and restarts add nothing. 429 states when a share has a token again.

--- a/crates/catalogue/tests/state.rs
+++ b/crates/catalogue/tests/state.rs
@@ -1,7 +1,9 @@
 //! Properties of the versioned catalogue state.
 
 use {
-    jujubeline_catalogue::{CatalogueState, Change, Difference, Edit, Entry, StateError},
+    jujubeline_catalogue::{
+        CatalogueState, Change, Difference, Edit, Entry, StateError, WorkspaceChanges,
+    },
     jujubeline_core::{Revision, cases},
     quickcheck::{Arbitrary, Gen, QuickCheck},
 };
--- a/crates/coordination/src/allowance/message.rs
+++ b/crates/coordination/src/allowance/message.rs
@@ -31,6 +31,8 @@
 pub struct AllowanceLoan {
     /// Number of the question.
     pub question: u64,
+    /// Workspace that the tokens are for.
+    pub workspace: WorkspaceHash,
     /// Tokens lent.
     pub tokens: u32,
     /// Time until the share has a token again; zero if it lends what was needed.
--- a/crates/coordination/src/allowance/owner.rs
+++ b/crates/coordination/src/allowance/owner.rs
@@ -154,6 +154,7 @@
 const fn loan(ask: &AllowanceAsk, tokens: u32, retry_after: Duration) -> AllowanceLoan {
     AllowanceLoan {
         question: ask.question,
+        workspace: ask.workspace,
         tokens,
         retry_after,
     }
--- a/crates/coordination/src/membership/message.rs
+++ b/crates/coordination/src/membership/message.rs
@@ -34,6 +34,9 @@
 /// Encoded size of a crash report.
 pub(super) const CRASH_BYTES: usize = 24;
 
+/// Encoded size of a question about an allowance, or of its answer.
+const ALLOWANCE_BYTES: usize = 48;
+
 /// Type of a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DatagramKind {
@@ -153,10 +156,10 @@
     pub fn max_bytes(&self) -> usize {
         DATAGRAM_BASE_BYTES
             + name_bytes(&self.sender)
-            + if matches!(self.kind, DatagramKind::PingReq(SocketAddr::V6(_))) {
-                IPV6_BYTES
-            } else {
-                0
+            + match self.kind {
+                DatagramKind::PingReq(SocketAddr::V6(_)) => IPV6_BYTES,
+                DatagramKind::AllowanceAsk(_) | DatagramKind::AllowanceLoan(_) => ALLOWANCE_BYTES,
+                _ => 0,
             }
             + self.crashes.len() * CRASH_BYTES
             + self.updates.iter().map(Update::max_bytes).sum::<usize>()
--- a/crates/coordination/tests/replication.rs
+++ b/crates/coordination/tests/replication.rs
@@ -3,7 +3,7 @@
 mod network;
 
 use {
-    jujubeline_catalogue::{CatalogueState, Change, Difference, Edit},
+    jujubeline_catalogue::{CatalogueState, Change, Difference, Edit, WorkspaceChanges},
     jujubeline_coordination::{
         membership::{Member, Presence},
         replication::{
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -130,8 +130,8 @@
     let sockets = Sockets::bind(&settings)
         .await
         .map_err(|error| format!("{error:?}"))?;
-    let node =
-        Node::start_with(settings, views, None, sockets).map_err(|error| format!("{error:?}"))?;
+    let node = Node::start_with(settings, views, None, None, sockets)
+        .map_err(|error| format!("{error:?}"))?;
     println!("callers {}", node.callers_address());
     println!("data {}", node.data_address());
     println!("operators {}", node.operators_address());
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -14,10 +14,10 @@
         udp::{self, DatagramCounts},
         unreadable_members::UnreadableMembers,
     },
-    crate::{CatalogueSource, LocalTarget, NodeSettings, Views},
+    crate::{Allowances, AllowancesContext, CatalogueSource, LocalTarget, NodeSettings, Views},
     jujubeline_catalogue::CatalogueState,
     jujubeline_coordination::{
-        membership::{Config, Member, Membership, Presence},
+        membership::{Config, Datagram, DatagramKind, Member, Membership, Presence},
         replication::MAX_PULLS,
     },
     jujubeline_core::{Incarnation, Peer, Step},
@@ -68,6 +68,7 @@
     datagrams: Arc<DatagramCounts>,
     unreadable_members: Arc<UnreadableMembers>,
     pulls: Arc<PullCounts>,
+    allowances: Arc<Allowances>,
     address: SocketAddr,
     tasks: Tasks,
     rpc: RpcThread,
@@ -134,12 +135,14 @@
         let state = Membership::new(Config::default(), own, Instant::now(), &mut rng);
         let (pulls, pulls_wanted) = mpsc::channel(MAX_PULLS);
         let (contacts, contacts_found) = mpsc::channel(join::MAX_CONTACTS);
-        let membership = MembershipHandle::start(state, sender, pulls, contacts.clone());
+        let membership = MembershipHandle::start(state, sender.clone(), pulls, contacts.clone());
         let catalogue = CatalogueHandle::start(match settings.catalogue_source {
             CatalogueSource::ChangeLog => CatalogueState::default(),
             CatalogueSource::Configuration => CatalogueState::for_configurations(),
         });
 
+        let allowances = start_allowances(settings, incarnation, sender, &membership, &catalogue);
+
         let mut tasks = Tasks::new();
         let claims = Arc::new(OnceLock::new());
         let services = Services {
@@ -157,6 +160,7 @@
             membership.clone(),
             Arc::clone(&datagrams),
             Arc::clone(&unreadable_members),
+            Arc::clone(&allowances),
         ));
         tasks.spawn(tick(membership.clone()));
         tasks.spawn(follow_target(membership.clone(), target_changes));
@@ -212,6 +216,7 @@
             datagrams,
             unreadable_members,
             pulls: pull_counts,
+            allowances,
             address: control_address,
             tasks,
             rpc,
@@ -273,6 +278,12 @@
         Arc::clone(&self.pulls)
     }
 
+    /// Tokens of the allowances of workspaces.
+    #[must_use]
+    pub fn allowances(&self) -> Arc<Allowances> {
+        Arc::clone(&self.allowances)
+    }
+
     /// Receiver of the claim calls from other nodes, which fail until this is called.
     ///
     /// # Errors
@@ -307,6 +318,37 @@
     }
 }
 
+/// Allowances that send their questions and answers as datagrams of this node.
+fn start_allowances(
+    settings: &NodeSettings,
+    incarnation: Incarnation,
+    sender: udp::Sender,
+    membership: &MembershipHandle,
+    catalogue: &CatalogueHandle,
+) -> Arc<Allowances> {
+    let (own, revisions) = (settings.node.clone(), catalogue.view());
+    let send = move |to: SocketAddr, kind: DatagramKind| {
+        let datagram = Datagram {
+            sender: own.clone(),
+            incarnation,
+            catalogue_revision: revisions.borrow().revision(),
+            sequence: 0,
+            kind,
+            updates: Vec::new(),
+            crashes: Vec::new(),
+        };
+        sender.send(to, &datagram);
+    };
+    let context = AllowancesContext {
+        own: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        members: membership.view(),
+        catalogue: catalogue.view(),
+        send: Box::new(send),
+    };
+    Allowances::new(context, Instant::now())
+}
+
 /// Platform settings with the call budget for the catalogue source. A node that watches the configuration reads again
 /// after each change, and changes come in quick succession: 4 a second over some seconds. The budget of a node that
 /// follows the change log delayed the last of them by seconds.
--- a/crates/node/src/control/udp.rs
+++ b/crates/node/src/control/udp.rs
@@ -6,7 +6,8 @@
         membership_actor::MembershipHandle,
         unreadable_members::UnreadableMembers,
     },
-    jujubeline_coordination::membership::{Datagram, MAX_DATAGRAM_BYTES},
+    crate::Allowances,
+    jujubeline_coordination::membership::{Datagram, DatagramKind, MAX_DATAGRAM_BYTES},
     jujubeline_core::{Peer, Step},
     jujubeline_protocol::{decode_datagram, encode_datagram},
     std::{
@@ -94,6 +95,7 @@
     membership: MembershipHandle,
     counts: Arc<DatagramCounts>,
     unreadable: Arc<UnreadableMembers>,
+    allowances: Arc<Allowances>,
 ) {
     // One byte more than allowed, so that a longer datagram is detected as too long.
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -106,8 +108,13 @@
         match decode_datagram(&buffer[..len]) {
             Ok(decoded) => {
                 let datagram = unreadable.note(from, decoded);
-                if !membership.deliver_datagram(from, datagram) {
-                    counts.overflowed.fetch_add(1, Ordering::Relaxed);
+                match datagram.kind {
+                    DatagramKind::AllowanceAsk(ask) => allowances.handle_ask(from, &ask),
+                    DatagramKind::AllowanceLoan(loan) => allowances.handle_loan(&loan),
+                    _ if !membership.deliver_datagram(from, datagram) => {
+                        counts.overflowed.fetch_add(1, Ordering::Relaxed);
+                    }
+                    _ => {}
                 }
             }
             Err(error) => {
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -19,7 +19,7 @@
         target_report_header::read_report,
     },
     crate::{
-        Metrics,
+        Allowances, Metrics,
         claims::Claims,
         decisions::{Decision, DecisionLog, request_name},
     },
@@ -28,7 +28,7 @@
     },
     hyper::body::Incoming,
     jujubeline_catalogue::{ANY_METHOD, Entry, Workspace},
-    jujubeline_coordination::{TargetReport, TargetReports},
+    jujubeline_coordination::{TargetReport, TargetReports, allowance::Denial},
     jujubeline_core::{
         Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason, RootId,
         ServiceName, header_names as names, stable_hash,
@@ -64,6 +64,8 @@
     pub hops: Arc<Hops>,
     /// Claims of at-most-once work; without them such work is refused.
     pub claims: Option<Arc<Claims>>,
+    /// Tokens of the workspaces' allowances; without them requests are not limited.
+    pub allowances: Option<Arc<Allowances>>,
     /// What the targets of other nodes state about themselves.
     pub reports: Mutex<TargetReports>,
     /// Data centre of the node.
@@ -139,7 +141,7 @@
         exchange.call = hop
             .as_ref()
             .map(|hop| self.hops.begin_call(hop.id, started));
-        let run = self.run(&mut accepted, body, &mut exchange);
+        let run = self.run_within_allowance(&mut accepted, body, &mut exchange);
         // A call is cancelled with its exchange only where targets copy the exchange headers of the node. Targets that
         // name the parent attempt in ids of their own cancel their calls themselves.
         let hop = hop.filter(|_| self.dialect.propagates_exchange_headers);
@@ -297,6 +299,33 @@
         Ok(entry)
     }
 
+    /// Runs a request if the allowance of its workspace has a token for it. A request that has not run returns it.
+    async fn run_within_allowance(
+        &self,
+        accepted: &mut Accepted,
+        body: Incoming,
+        exchange: &mut EntryExchange,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let limited = accepted
+            .workspace
+            .clone()
+            .filter(|workspace| workspace.allowance.is_some());
+        let (Some(allowances), Some(workspace)) = (&self.allowances, limited) else {
+            return self.run(accepted, body, exchange).await;
+        };
+        allowances
+            .take(&workspace.name)
+            .await
+            .map_err(|denial| allowance_refusal(&accepted.context, denial, Instant::now()))?;
+        let result = self.run(accepted, body, exchange).await;
+        if let Err(refusal) = &result
+            && refusal.outcome() == Outcome::NotRun
+        {
+            allowances.give_back(&workspace.name);
+        }
+        result
+    }
+
     async fn run(
         &self,
         accepted: &mut Accepted,
@@ -628,6 +657,17 @@
     Refusal::not_run(NotRunProof::RejectedAtEntry, reason)
 }
 
+/// Refusal of a request for which there is no token. The delay is at least the one that other refused requests get, so
+/// that the callers of a workspace above its allowance do not return all at once for the next token.
+fn allowance_refusal(context: &ExchangeContext, denial: Denial, now: Instant) -> Refusal {
+    let usual = suggested_retry_after(context.remaining(now), context.root);
+    let (reason, after) = match denial {
+        Denial::UsedUp(after) => (RefusalReason::WorkspaceAllowance, after.max(usual)),
+        Denial::Unknown => (RefusalReason::AllowanceUnknown, usual),
+    };
+    rejected(reason).with_retry_after(after)
+}
+
 /// A refusal of a request whose catalogue entry is not known. With an idempotency key the outcome is unknown: the key may
 /// have run through another node, which knew the entry.
 fn refused_without_entry(head: &request::Parts, reason: RefusalReason) -> Refusal {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The node: one process beside each target instance, between callers and targets.
 
+mod allowances;
 pub mod claims;
 mod claims_link;
 pub mod control;
@@ -15,6 +16,7 @@
 mod view;
 
 pub use {
+    allowances::{AllowanceCounts, Allowances, AllowancesContext},
     error::{NodeError, NodeResult},
     metrics::Metrics,
     node::{Node, Sockets},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CatalogueSource, Metrics, NodeSettings, Views,
+        Allowances, CatalogueSource, Metrics, NodeSettings, Views,
         claims::{Claims, ClaimsSettings},
         claims_link::{claim_calls, serve_claims},
         control::Control,
@@ -100,7 +100,13 @@
         let calls = control
             .take_claim_calls()
             .change_context(NodeError::Start)?;
-        let mut node = Self::start_with(settings, control.views(), claims.clone(), sockets)?;
+        let mut node = Self::start_with(
+            settings,
+            control.views(),
+            claims.clone(),
+            Some(control.allowances()),
+            sockets,
+        )?;
         let tasks = node.data.tasks().clone();
         if let Some(claims) = claims {
             node.data
@@ -121,7 +127,8 @@
         Ok(node)
     }
 
-    /// Starts a node without a control plane on bound sockets; the caller updates the views.
+    /// Starts a node without a control plane on bound sockets; the caller updates the views. Without `allowances` the
+    /// requests of workspaces are not limited.
     ///
     /// # Errors
     ///
@@ -130,6 +137,7 @@
         settings: NodeSettings,
         views: Views,
         claims: Option<Arc<Claims>>,
+        allowances: Option<Arc<Allowances>>,
         sockets: Sockets,
     ) -> NodeResult<Self> {
         let exporter = Arc::new(Exporter::new()?);
@@ -139,6 +147,7 @@
             incarnation,
             &views,
             claims.clone(),
+            allowances,
             exporter.metrics(),
             sockets.callers,
             sockets.data,
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -187,7 +187,7 @@
     ));
     let known = (Arc::from(service), Arc::clone(&claims));
     network.nodes.lock().unwrap().insert(control_address, known);
-    let node = Node::start_with(settings, views, Some(claims), sockets).unwrap();
+    let node = Node::start_with(settings, views, Some(claims), None, sockets).unwrap();
     let member = Member {
         node: name.into(),
         incarnation: 1,
--- a/crates/protocol/schema/node.capnp
+++ b/crates/protocol/schema/node.capnp
@@ -85,6 +85,7 @@
   tokens @1 :UInt32;
   retryAfterMs @2 :UInt32;
   # Time until the share has a token again, if it lends fewer than were needed.
+  workspace @3 :UInt64;
 }
 
 struct Datagram {
--- a/crates/protocol/src/datagram.rs
+++ b/crates/protocol/src/datagram.rs
@@ -84,6 +84,7 @@
         DatagramKind::AllowanceLoan(loan) => {
             let mut builder = kind.init_allowance_loan();
             builder.set_question(loan.question);
+            builder.set_workspace(loan.workspace);
             builder.set_tokens(loan.tokens);
             // Rounded up, so that no retry is suggested too early.
             let retry_after_ms = loan.retry_after.as_micros().div_ceil(1_000);
@@ -154,6 +155,7 @@
                 let loan = loan?;
                 DatagramKind::AllowanceLoan(AllowanceLoan {
                     question: loan.get_question(),
+                    workspace: loan.get_workspace(),
                     tokens: loan.get_tokens(),
                     retry_after: Duration::from_millis(loan.get_retry_after_ms().into()),
                 })
--- a/crates/protocol/src/node_capnp.rs
+++ b/crates/protocol/src/node_capnp.rs
@@ -2353,11 +2353,15 @@
         pub fn get_retry_after_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(3)
         }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2431,6 +2435,14 @@
         pub fn set_retry_after_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(3, value);
         }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_workspace(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2442,17 +2454,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(28, 124, 239, 121, 204, 150, 233, 210),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 128, 233, 178, 244, 167, 198, 209),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
@@ -2460,28 +2472,35 @@
             ::capnp::word(97, 110, 99, 101, 76, 111, 97, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(113, 117, 101, 115, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2508,12 +2527,22 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2527,9 +2556,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
         pub(crate) const TYPE_ID: u64 = 0xd2e9_96cc_79ef_7c1c;
     }
 }
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -5,9 +5,11 @@
 use {
     capnp::message::Builder,
     jujubeline_catalogue::{
-        Difference, Entry, MAX_ENTRIES, Preference, ServiceLimit, ServiceLimits,
+        Allowance, Difference, Entry, MAX_ENTRIES, Preference, Rate, ServiceLimit, ServiceLimits,
+        Workspace, WorkspaceChanges,
     },
     jujubeline_coordination::{
+        allowance::{AllowanceAsk, AllowanceLoan},
         claims::{
             AttemptId, Claim, ClaimReply, Completed, Fence, FenceReply, GateId, KeyHash,
             OwnerRecords, RecordCopy, RecordOutcome, RegisteredGate, Resolve, ResolveResult, Run,
@@ -17,7 +19,7 @@
             PresenceClaim, TargetState, Update,
         },
     },
-    jujubeline_core::{Class, NotRunProof, Refusal, RefusalReason, cases},
+    jujubeline_core::{Class, KeyDigest, NotRunProof, Refusal, RefusalReason, cases},
     jujubeline_protocol::{
         MAX_RECORDS_PER_LIST, MAX_RPC_WORDS, ProtocolError,
         claims::{
@@ -113,6 +115,19 @@
             DatagramKind::Ack,
             DatagramKind::Nack,
             DatagramKind::Hint,
+            DatagramKind::AllowanceAsk(AllowanceAsk {
+                question: u64::arbitrary(g),
+                workspace: u64::arbitrary(g),
+                share: u8::arbitrary(g),
+                needed: u32::arbitrary(g),
+                ahead: u32::arbitrary(g),
+            }),
+            DatagramKind::AllowanceLoan(AllowanceLoan {
+                question: u64::arbitrary(g),
+                workspace: u64::arbitrary(g),
+                tokens: u32::arbitrary(g),
+                retry_after: Duration::from_millis(u32::arbitrary(g).into()),
+            }),
         ];
         Self(Datagram {
             sender: name(g),
@@ -242,6 +257,27 @@
     }
 }
 
+fn workspace_changes() -> WorkspaceChanges {
+    let workspace = |name: &str, allowance| Workspace {
+        name: name.into(),
+        keys_sha256: vec![KeyDigest::of(name.as_bytes()), KeyDigest::of(b"second")],
+        priority: 2,
+        allowance,
+    };
+    let allowance = Allowance {
+        rate_per_s: Rate::from_thousandths(2_500),
+        burst: 40,
+    };
+    WorkspaceChanges {
+        keys_required: true,
+        set: vec![
+            (6, workspace("fillers", Some(allowance))),
+            (7, workspace("packers", None)),
+        ],
+        removed: vec![(8, "weavers".into())],
+    }
+}
+
 /// Guards against an entry that encoding and decoding change, and against a difference above the bound.
 #[test]
 fn differences_round_trip_and_are_bounded() {
