Test workspaces through two daemons, and note member changes when they happen

The test found a fault of the allowances: a change of the members was noted with the first request after it, so a share had no token for a second after calm (9 of 30 requests served). A task now notes each change when it happens.

--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -34,6 +34,7 @@
     health: Arc<Mutex<String>>,
     endless: Arc<Mutex<EndlessBytes>>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    last_head: Arc<Mutex<String>>,
 }
 
 /// Bytes that a target sends in answer to requests below `/safe/endless/`: some first, and others without end.
@@ -56,14 +57,19 @@
             health: Arc::clone(&health),
             endless: Arc::default(),
             arrivals: Arc::clone(&arrivals),
+            last_head: Arc::default(),
         };
+        let heads = Arc::clone(&target.last_head);
         let endless = Arc::clone(&target.endless);
         // The thread is not joined; it ends with the test process.
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (headers, health) = (Arc::clone(&headers), Arc::clone(&health));
                 let (endless, arrivals) = (Arc::clone(&endless), Arc::clone(&arrivals));
-                thread::spawn(move || serve(stream, work, &headers, &health, &endless, &arrivals));
+                let heads = Arc::clone(&heads);
+                thread::spawn(move || {
+                    serve(stream, work, &headers, &health, &endless, &arrivals, &heads);
+                });
             }
         });
         target
@@ -93,6 +99,11 @@
         *self.health.lock().unwrap() = health_answer(status, &header);
     }
 
+    /// Head of the request that arrived last, in lower-case header names.
+    pub fn last_head(&self) -> String {
+        self.last_head.lock().unwrap().clone()
+    }
+
     pub fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.lock().unwrap().clone()
     }
@@ -109,6 +120,7 @@
     health: &Mutex<String>,
     endless: &Mutex<EndlessBytes>,
     arrivals: &Mutex<Vec<Instant>>,
+    last_head: &Mutex<String>,
 ) {
     let mut buffer = Vec::new();
     let mut chunk = [0; 4_096];
@@ -128,6 +140,7 @@
             return;
         }
         arrivals.lock().unwrap().push(Instant::now());
+        last_head.lock().unwrap().clone_from(&head);
         if head.starts_with("GET /safe/endless/") {
             let bytes = endless.lock().unwrap().clone();
             send_without_end(&mut stream, &bytes);
@@ -273,6 +286,33 @@
         assert!(written.contains("200 OK"), "{written}");
     }
 
+    /// Replaces the configuration by one with workspaces: rows of name, keys, priority, rate and burst. The entry for
+    /// paths in `/safe/public/` is public.
+    pub fn write_workspaces(&self, version: u32, rows: &serde_json::Value) {
+        let object = json!({"metadata": {"name": "main"}, "spec": {
+            "version": format!("{version:08x}"),
+            "routes": {
+                "columns": ["name", "host", "pathPrefix", "type", "timeoutMs", "priority", "maxAttempts", "public", "service"],
+                "rows": [
+                    ["r-safe", "a.example", "/safe/", "safe", 5000, 2, 2, false, "schedules"],
+                    ["r-public", "a.example", "/safe/public/", "safe", 5000, 2, 2, true, "schedules"],
+                ],
+            },
+            "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
+            "tenants": {"columns": ["name", "apiKeys", "priority", "ratePerS", "burst"], "rows": rows},
+        }});
+        let body = object.to_string();
+        let length = body.len();
+        let written = exchange(
+            self.store.address(),
+            &format!(
+                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            ),
+        );
+        assert!(written.contains("200 OK"), "{written}");
+    }
+
     /// Replaces the configuration by one with this many routes, whose paths are `/r/NUMBER/`.
     pub fn write_many_routes(&self, count: usize) {
         let row = |number| {
--- a/crates/node/src/allowances/allowances.rs
+++ b/crates/node/src/allowances/allowances.rs
@@ -101,6 +101,18 @@
         })
     }
 
+    /// Notes each change of the members when it happens, until the control plane ends. A share that is new here has its
+    /// first token a while after the change, not after the first request.
+    pub async fn follow_members(&self) {
+        let mut members = self.context.members.clone();
+        loop {
+            drop(self.refreshed(Instant::now()));
+            if members.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Takes a token for a request of a workspace, after a question to the owners of its shares if necessary.
     ///
     /// # Errors
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -162,6 +162,8 @@
             Arc::clone(&unreadable_members),
             Arc::clone(&allowances),
         ));
+        let follower = Arc::clone(&allowances);
+        tasks.spawn(async move { follower.follow_members().await });
         tasks.spawn(tick(membership.clone()));
         tasks.spawn(follow_target(membership.clone(), target_changes));
         let revision_query = Arc::new(Notify::new());
