--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -1,7 +1,7 @@
 //! Export in the text format of Prometheus.
 
 use {
-    super::Metrics,
+    super::{Metrics, allowance_metrics::observe_allowances},
     crate::{
         Views,
         control::{
@@ -149,6 +149,7 @@
         observe_unreadable_members(&meter, control.unreadable_members());
         observe_pulls(&meter, control.pulls());
         observe_silent_calls(&meter, control.peers().counts());
+        observe_allowances(&meter, &control.allowances());
         if let Some(platform) = control.platform() {
             observe_platform(&meter, platform);
         }
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Counters, histograms and gauges.
 
+mod allowance_metrics;
 mod exporter;
 mod node_metrics;
 
