Do not pass on statuses that HTTP does not know

Cause: a target in trouble may answer with a status such as 600 or 999, or an upgrade that nobody asked for. Statuses below 100 failed to parse and became 502; the others reached the caller as answers, with the target's seal.

Change: gate and entry refuse a final status that is interim or above 599 with 502 and the reason answer_invalid; a repeatable request may be tried again.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -56,6 +56,8 @@
     TargetUnreachable,
     /// The answer ended before it was complete.
     AnswerCutShort,
+    /// The status of the answer is none that HTTP knows.
+    AnswerInvalid,
     /// The target states a limit on the rate of requests, and it is used up.
     TargetRateLimit,
     /// The connection stalled: it stayed open and carried no data.
@@ -84,7 +86,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order of the counters.
-    pub const ALL: [Self; 37] = [
+    pub const ALL: [Self; 38] = [
         Self::BadRequest,
         Self::KeyMissing,
         Self::KeyReused,
@@ -110,6 +112,7 @@
         Self::TargetShed,
         Self::TargetUnreachable,
         Self::AnswerCutShort,
+        Self::AnswerInvalid,
         Self::TargetRateLimit,
         Self::ConnectionStalled,
         Self::InProgress,
@@ -153,6 +156,7 @@
             Self::TargetShed => "target_shed",
             Self::TargetUnreachable => "target_unreachable",
             Self::AnswerCutShort => "answer_cut_short",
+            Self::AnswerInvalid => "answer_invalid",
             Self::TargetRateLimit => "target_rate_limit",
             Self::ConnectionStalled => "connection_stalled",
             Self::InProgress => "in_progress",
@@ -190,7 +194,10 @@
             Self::EntryLimit | Self::WorkspaceAllowance => 429,
             Self::Cancelled => 499,
             Self::Internal => 500,
-            Self::TargetUnreachable | Self::AnswerCutShort | Self::OutcomeLost => 502,
+            Self::TargetUnreachable
+            | Self::AnswerCutShort
+            | Self::AnswerInvalid
+            | Self::OutcomeLost => 502,
             Self::ParentUnknown
             | Self::AllowanceUnknown
             | Self::NoTarget
@@ -248,6 +255,7 @@
             Self::TargetShed => "The target shed the request.",
             Self::TargetUnreachable => "The target or its node cannot be reached.",
             Self::AnswerCutShort => "The answer ended before it was complete.",
+            Self::AnswerInvalid => "The answer has a status that HTTP does not know.",
             Self::TargetRateLimit => "The target accepts no more requests per second.",
             Self::ConnectionStalled => "The connection went silent.",
             Self::InProgress => "An earlier request with the same key is still running.",
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -155,6 +155,10 @@
                 let _ = stream.write_all(&whole.as_bytes()[..length.min(whole.len())]);
                 return;
             }
+            odd if odd.starts_with("status-") => {
+                let status = format!("{} Odd", &odd["status-".len()..]);
+                answer(&status, &id, "x-jujubeline-response-seal: s\r\n", "odd")
+            }
             both if both.starts_with("twice-") => answer_twice(both, &id, arrivals),
             "failed" => answer(
                 "500 Internal Server Error",
@@ -472,6 +476,19 @@
     refusal_in_answer_to_a_safe_request: (Method::GET, "shed", &["200", "502"]),
 }
 
+cases! {
+    /// Guards against at-most-once work whose answer has a status that HTTP does not know: the caller must not get it as
+    /// an answer, and the work must not run again.
+    fn odd_status_of_unsafe_work_has_an_unknown_outcome(status: &str) {
+        let fixture = Fixture::ready();
+        let response = fixture.send(&Method::POST, &format!("/unsafe/status-{status}"));
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert_eq!(fixture.target.arrivals(), 1);
+    }
+    status_zero: ("000"),
+    status_six_hundred: ("600"),
+}
+
 cases! {
     /// Guards against a response that breaks off, at any byte of it, and reaches the client as a complete success.
     fn a_response_that_breaks_off_is_no_success(kind: &str) {
--- a/crates/node/src/data/attempt_end.rs
+++ b/crates/node/src/data/attempt_end.rs
@@ -23,6 +23,7 @@
         },
         Reason::TargetUnreachable
         | Reason::AnswerCutShort
+        | Reason::AnswerInvalid
         | Reason::ConnectionStalled
         | Reason::OutcomeLost
         | Reason::Internal => ExchangeEnd::Failed,
@@ -50,7 +51,9 @@
         Reason::TargetShed => Some(RetryReason::TargetShed),
         Reason::Draining => Some(RetryReason::PeerDraining),
         Reason::ConnectionStalled => Some(RetryReason::ConnectionStalled),
-        Reason::OutcomeLost | Reason::AnswerCutShort => Some(RetryReason::AnswerLost),
+        Reason::OutcomeLost | Reason::AnswerCutShort | Reason::AnswerInvalid => {
+            Some(RetryReason::AnswerLost)
+        }
         Reason::ConcurrencyLimit
         | Reason::TargetRateLimit
         | Reason::QueueFull
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -5,6 +5,7 @@
         CatalogueIndex, ExchangeContext, OutgoingBody, ResponseBody, Routes, TargetPool,
         body::BodyError,
         crash_watch::{CrashWatch, RunningRequest, SuspectRefusal},
+        final_status::is_final,
         fingerprint::fingerprint,
         forward_headers::{clean_target_response, write_target_context},
         hops::{HopGuard, Hops},
@@ -391,8 +392,8 @@
         }
     }
 
-    /// Refuses a response that must not be passed on: to another attempt, of a target that shed the request, or with a
-    /// body whose end cannot be detected.
+    /// Refuses a response that must not be passed on: to another attempt, with a status that is none, of a target that
+    /// shed the request, or with a body whose end cannot be detected.
     fn check_response(
         &self,
         response: &Response<Incoming>,
@@ -403,6 +404,9 @@
             // The target sent a second response to an earlier request in place of this one.
             return Err(Refusal::unknown(RefusalReason::OutcomeLost));
         }
+        if !is_final(response.status()) {
+            return Err(Refusal::unknown(RefusalReason::AnswerInvalid));
+        }
         if (self.dialect.is_shed)(response.status(), headers) {
             return Err(shed_refusal(headers));
         }
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -14,6 +14,7 @@
 mod data_path;
 mod detected_stream;
 mod entry;
+mod final_status;
 mod fingerprint;
 mod forward_headers;
 mod gate;
--- a/crates/node/src/data/peers.rs
+++ b/crates/node/src/data/peers.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ExchangeContext, OutgoingBody, ResponseBody, forward_headers::write_context,
-        gate::GateRefusal, listener::TrackedExecutor, load_report::read_load,
-        target_report_header::read_report,
+        ExchangeContext, OutgoingBody, ResponseBody, final_status::is_final,
+        forward_headers::write_context, gate::GateRefusal, listener::TrackedExecutor,
+        load_report::read_load, target_report_header::read_report,
     },
     http::{HeaderMap, Request, Response, Uri, request, uri::Authority},
     hyper::{
@@ -274,6 +274,10 @@
     if head.headers.contains_key(names::REASON) {
         return Err(read_refusal(&head.headers));
     }
+    if !is_final(head.status) {
+        let refusal = Refusal::unknown(RefusalReason::AnswerInvalid);
+        return Err(GateRefusal::new(refusal, 0));
+    }
     let deadline = Box::pin(sleep_until(context.deadline.into()));
     Ok(Response::from_parts(
         head,
