Divide room over workspaces by start-time fair queueing

Cause: among requests of one class the order was that of arrival, so the workspace with the most demand got the most room.

Change: where requests belong to workspaces, the queue of a gate serves calls before other requests of their class, and then the workspace with the lowest virtual start time, weighted by the rate of its allowance. Requests without a workspace are served as before.

--- a/crates/node/src/data/catalogue_index.rs
+++ b/crates/node/src/data/catalogue_index.rs
@@ -2,7 +2,8 @@
 
 use {
     jujubeline_catalogue::{ANY_METHOD, CatalogueState, Entry, Workspace},
-    jujubeline_core::{EntryName, KeyDigest, Revision},
+    jujubeline_core::{EntryName, KeyDigest, Revision, WorkspaceName},
+    jujubeline_overload::DEFAULT_WEIGHT,
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -28,6 +29,8 @@
     by_name: HashMap<EntryName, Arc<Entry>>,
     /// Workspaces by their keys. A key that two workspaces hold identifies neither.
     by_key: HashMap<KeyDigest, Option<Arc<Workspace>>>,
+    /// Weights of the workspaces where room is short, for those that have an allowance.
+    weights: HashMap<WorkspaceName, f64>,
     keys_required: bool,
 }
 
@@ -54,6 +57,7 @@
             by_route,
             by_name,
             by_key: workspaces_by_key(state),
+            weights: weights(state),
             keys_required: state.keys_required(),
         }
     }
@@ -76,6 +80,14 @@
         self.keys_required
     }
 
+    /// Weight of a workspace where room is short: the rate of its allowance, so that each gets room in proportion to what
+    /// the operators grant it.
+    #[must_use]
+    pub fn weight_of(&self, workspace: &str) -> f64 {
+        let weight = self.weights.get(workspace).copied();
+        weight.unwrap_or(DEFAULT_WEIGHT)
+    }
+
     /// The workspace that holds a key.
     #[must_use]
     pub fn workspace_of(&self, key: KeyDigest) -> Option<&Arc<Workspace>> {
@@ -107,6 +119,16 @@
     }
 }
 
+fn weights(state: &CatalogueState) -> HashMap<WorkspaceName, f64> {
+    let limited = state.workspaces().filter_map(|workspace| {
+        let rate_per_s = workspace.allowance?.rate_per_s.per_s();
+        Some((workspace.name.clone(), rate_per_s))
+    });
+    limited
+        .filter(|(_, rate_per_s)| *rate_per_s > 0.0)
+        .collect()
+}
+
 fn workspaces_by_key(state: &CatalogueState) -> HashMap<KeyDigest, Option<Arc<Workspace>>> {
     let mut by_key = HashMap::new();
     for workspace in state.workspaces() {
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -25,7 +25,7 @@
     http_body::Body,
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    jujubeline_coordination::{TargetReport, membership::TargetState},
+    jujubeline_coordination::{TargetReport, allowance::workspace_hash, membership::TargetState},
     jujubeline_core::{
         Class, Dialect, EntryName, NotRunProof, Outcome, Refusal, RefusalReason, ServiceName,
         header_names as names,
@@ -200,13 +200,16 @@
             .await
             .map_err(suspect_refusal)?;
         let attempt = self.attempt_id(&head.headers);
+        let index = self.routes.index();
+        let workspace = context.workspace.as_deref();
         let request = AdmissionRequest {
+            workspace: workspace.map(|name| (workspace_hash(name), index.weight_of(name))),
             is_call: context.is_call,
             has_alternative: context.has_alternative,
             class: context.class,
             root: context.root,
             entry: context.entry.clone(),
-            entry_concurrency: entry_concurrency(&self.routes.index(), context),
+            entry_concurrency: entry_concurrency(&index, context),
             deadline: context.deadline,
         };
         let guard = self
--- a/crates/overload/benches/decisions.rs
+++ b/crates/overload/benches/decisions.rs
@@ -118,6 +118,7 @@
 
     fn arrive(&mut self) {
         let request = AdmissionRequest {
+            workspace: None,
             is_call: false,
             has_alternative: false,
             class: Class::ALL[self.rng.random_range(0..4)],
--- a/crates/overload/examples/admission.rs
+++ b/crates/overload/examples/admission.rs
@@ -22,6 +22,7 @@
             Class::Low
         };
         let request = AdmissionRequest {
+            workspace: None,
             is_call: false,
             has_alternative: false,
             class,
--- a/crates/overload/src/admission/class_queue.rs
+++ b/crates/overload/src/admission/class_queue.rs
@@ -1,7 +1,7 @@
 //! Queue of the requests that wait for the local target.
 
 use {
-    crate::admission::EntrySlot,
+    crate::admission::{EntrySlot, FairShares, WorkspaceHash},
     jujubeline_core::{Class, RefusalReason},
     std::{
         collections::VecDeque,
@@ -47,6 +47,18 @@
     class: Class,
 }
 
+/// Workspace to which a waiting request belongs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claimant {
+    /// The workspace.
+    pub workspace: WorkspaceHash,
+    /// Its weight among the workspaces, above 0.
+    pub weight: f64,
+    /// Whether the request is a call. Work has been spent for its root request, which a refusal would waste, so calls
+    /// are served before other requests of their class.
+    pub is_call: bool,
+}
+
 /// A request in the queue.
 #[derive(Debug, Clone, Copy)]
 pub struct WaitingRequest {
@@ -58,6 +70,8 @@
     pub deadline: Instant,
     /// Catalogue entry whose concurrency limit applies.
     pub entry: EntrySlot,
+    /// Workspace of the request; none without workspaces, when requests are served in the order of their arrival.
+    pub claimant: Option<Claimant>,
 }
 
 /// Bounded priority queue with one sub-queue for each class.
@@ -69,6 +83,7 @@
     waiting: usize,
     refused: u64,
     next_sweep: Instant,
+    shares: FairShares,
 }
 
 #[derive(Debug)]
@@ -117,6 +132,7 @@
             waiting: 0,
             refused: 0,
             next_sweep: now,
+            shares: FairShares::default(),
         }
     }
 
@@ -133,6 +149,22 @@
         entry: EntrySlot,
         deadline: Instant,
         now: Instant,
+    ) -> Result<(Ticket, Option<Ticket>), RefusalReason> {
+        self.push_for(None, class, entry, deadline, now)
+    }
+
+    /// Like [`ClassQueue::push`], for a request of a workspace.
+    ///
+    /// # Errors
+    ///
+    /// Returns `QueueFull` if a request must be displaced and none of a lower class can be.
+    pub fn push_for(
+        &mut self,
+        claimant: Option<Claimant>,
+        class: Class,
+        entry: EntrySlot,
+        deadline: Instant,
+        now: Instant,
     ) -> Result<(Ticket, Option<Ticket>), RefusalReason> {
         let mut displaced = None;
         if self.waiting >= MAX_WAITING && self.sub_queues[class.rank()].requests.len() >= RESERVED {
@@ -157,6 +189,7 @@
             since: now,
             deadline,
             entry,
+            claimant,
         });
         Ok((ticket, displaced))
     }
@@ -323,11 +356,16 @@
         let sub_queue = &mut self.sub_queues[rank];
         let newest_first = sub_queue.is_delayed(QUEUE_TIMEOUT[rank], now);
         let count = sub_queue.requests.len();
-        let index = (0..count)
+        let candidates = (0..count)
             .map(|step| if newest_first { count - 1 - step } else { step })
-            .find(|&index| has_room(sub_queue.requests[index].entry))?;
+            .filter(|&index| has_room(sub_queue.requests[index].entry));
+        let index = next_in_order(candidates, &sub_queue.requests, &self.shares)?;
         let oldest = sub_queue.requests.front()?.since;
         let request = sub_queue.requests.remove(index)?;
+        if let Some(claimant) = request.claimant {
+            self.shares
+                .record_grant(claimant.workspace, claimant.weight);
+        }
         sub_queue.served = now;
         if sub_queue.requests.is_empty()
             || now.saturating_duration_since(oldest) < QUEUE_TIMEOUT[rank] / DELAY_DIVISOR
@@ -337,3 +375,28 @@
         Some(request)
     }
 }
+
+/// The request that is served next: calls first, then in the fair order of the workspaces, then the first candidate.
+/// Without workspaces it is the first candidate.
+fn next_in_order(
+    mut candidates: impl Iterator<Item = usize>,
+    requests: &VecDeque<WaitingRequest>,
+    shares: &FairShares,
+) -> Option<usize> {
+    let rank = |claimant: Claimant| (!claimant.is_call, shares.start_time(claimant.workspace));
+    let first = candidates.next()?;
+    let Some(claimant) = requests[first].claimant else {
+        return Some(first);
+    };
+    let mut best = (first, rank(claimant));
+    for index in candidates {
+        let Some(claimant) = requests[index].claimant else {
+            continue;
+        };
+        let rank = rank(claimant);
+        if rank < best.1 {
+            best = (index, rank);
+        }
+    }
+    Some(best.0)
+}
--- a/crates/overload/src/admission/gate_admission.rs
+++ b/crates/overload/src/admission/gate_admission.rs
@@ -5,8 +5,8 @@
     crate::{
         ExchangeEnd,
         admission::{
-            AdmissionLevel, CallLevels, ClassQueue, ConcurrencyLimit, DrainRate, EntryLimit,
-            EntrySlot, Level, RateChange, RateLimit, TargetPace, Ticket,
+            AdmissionLevel, CallLevels, Claimant, ClassQueue, ConcurrencyLimit, DrainRate,
+            EntryLimit, EntrySlot, Level, RateChange, RateLimit, TargetPace, Ticket, WorkspaceHash,
         },
         routing::{ExpectedCompletion, LoadReport},
     },
@@ -42,6 +42,8 @@
     pub entry_concurrency: u32,
     /// Time at which the caller stops waiting.
     pub deadline: Instant,
+    /// Workspace of the request and its weight; none without workspaces.
+    pub workspace: Option<(WorkspaceHash, f64)>,
 }
 
 /// Right to run one request at the local target. It must be returned with [`GateAdmission::end`].
@@ -425,9 +427,14 @@
         if self.displaced.len() >= MAX_DISPLACED {
             return Err(RefusalReason::QueueFull);
         }
-        let (ticket, displaced) = self
-            .queue
-            .push(request.class, entry, request.deadline, now)?;
+        let claimant = request.workspace.map(|(workspace, weight)| Claimant {
+            workspace,
+            weight,
+            is_call: request.is_call,
+        });
+        let (ticket, displaced) =
+            self.queue
+                .push_for(claimant, request.class, entry, request.deadline, now)?;
         if let Some(ticket) = displaced {
             self.displaced.push(TicketDecision {
                 ticket,
--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -6,6 +6,7 @@
 mod concurrency_limit;
 mod drain_rate;
 mod entry_limit;
+mod fair_shares;
 mod gate_admission;
 mod latency_window;
 mod level;
@@ -18,10 +19,11 @@
 pub use {
     admission_level::AdmissionLevel,
     call_levels::CallLevels,
-    class_queue::{ClassQueue, Ticket, WaitingRequest},
+    class_queue::{Claimant, ClassQueue, Ticket, WaitingRequest},
     concurrency_limit::ConcurrencyLimit,
     drain_rate::DrainRate,
     entry_limit::{EntryLimit, EntrySlot},
+    fair_shares::{DEFAULT_WEIGHT, FairShares, WorkspaceHash},
     gate_admission::{
         AdmissionCounts, AdmissionRequest, Admitted, GateAdmission, Permit, TicketDecision,
     },
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -12,9 +12,10 @@
 
 pub use {
     admission::{
-        AdmissionCounts, AdmissionLevel, AdmissionRequest, Admitted, ClassQueue, ConcurrencyLimit,
-        DrainRate, EntryLimit, EntrySlot, GateAdmission, Level, ObservedLevels, Permit, RateChange,
-        RateLimit, TargetPace, Ticket, TicketDecision, WaitingRequest,
+        AdmissionCounts, AdmissionLevel, AdmissionRequest, Admitted, Claimant, ClassQueue,
+        ConcurrencyLimit, DEFAULT_WEIGHT, DrainRate, EntryLimit, EntrySlot, FairShares,
+        GateAdmission, Level, ObservedLevels, Permit, RateChange, RateLimit, TargetPace, Ticket,
+        TicketDecision, WaitingRequest, WorkspaceHash,
     },
     connection::{ProbeKind, StallAction, StallDetector, StallProbes},
     crash::{
--- a/crates/overload/tests/admission.rs
+++ b/crates/overload/tests/admission.rs
@@ -11,6 +11,7 @@
 
 fn request(class: Class, now: Instant) -> AdmissionRequest {
     AdmissionRequest {
+        workspace: None,
         is_call: false,
         has_alternative: false,
         class,
--- a/crates/overload/tests/calls.rs
+++ b/crates/overload/tests/calls.rs
@@ -28,6 +28,7 @@
 
 fn request(class: Class, root: u128, is_call: bool, now: Instant) -> AdmissionRequest {
     AdmissionRequest {
+        workspace: None,
         is_call,
         has_alternative: false,
         class,
--- a/crates/overload/tests/model/mod.rs
+++ b/crates/overload/tests/model/mod.rs
@@ -282,6 +282,7 @@
         }
         let request = &self.requests[index];
         let offered = AdmissionRequest {
+            workspace: None,
             is_call: false,
             has_alternative: false,
             class: request.class,
--- a/crates/overload/tests/rate_limit.rs
+++ b/crates/overload/tests/rate_limit.rs
@@ -75,6 +75,7 @@
     fn offer(&mut self, class: Class) {
         self.roots += 0x9e37_79b9_7f4a_7c15;
         let request = AdmissionRequest {
+            workspace: None,
             is_call: false,
             has_alternative: false,
             class,
@@ -190,6 +191,7 @@
         gate.set_exact_slots(Some(90));
         gate.observe_rate(StatedRate::PerSecond(20.0), now, now);
         let request = AdmissionRequest {
+            workspace: None,
             is_call: true,
             has_alternative,
             class: Class::Normal,
@@ -254,6 +256,7 @@
     gate.set_exact_slots(Some(90));
     gate.observe_rate(StatedRate::PerSecond(0.0), now, now);
     let request = AdmissionRequest {
+        workspace: None,
         is_call: false,
         has_alternative: true,
         class: Class::Normal,
--- a/crates/overload/tests/smoke.rs
+++ b/crates/overload/tests/smoke.rs
@@ -35,6 +35,7 @@
 
     let mut gate = GateAdmission::new(560, now);
     let request = AdmissionRequest {
+        workspace: None,
         is_call: false,
         has_alternative: false,
         class: Class::Critical,
