--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -705,8 +705,8 @@
     ExchangeContext {
         deadline,
         root,
-        // A call has at least the class of the exchange that it belongs to.
-        class: hop.map_or(entry.class, |hop| hop.class.min(entry.class)),
+        // A call is worth what its root request is worth, whatever class its own entry has.
+        class: hop.map_or(entry.class, |hop| hop.class),
         entry: entry.name.clone(),
         service: entry.service_at(rand::random()).clone(),
         workspace: hop.and_then(|hop| hop.workspace.clone()),
--- a/crates/overload/src/routing/router.rs
+++ b/crates/overload/src/routing/router.rs
@@ -191,7 +191,11 @@
             let found = tiers
                 .into_iter()
                 .find_map(|tier| self.better_of_two(tier, usable, usual, now, rng));
-            if let Some((index, _)) = found {
+            // The share follows queues. A target that refuses or fails has none, so it is compared with those of other
+            // tiers as without a share.
+            if let Some((index, _)) = found
+                && !self.targets[index].is_in_trouble(now)
+            {
                 return Some(self.start(index, now));
             }
         }
--- a/crates/overload/src/routing/target.rs
+++ b/crates/overload/src/routing/target.rs
@@ -187,6 +187,11 @@
         }
     }
 
+    /// Whether the target refused or shed a request recently, or failed the last one.
+    pub(crate) fn is_in_trouble(&self, now: Instant) -> bool {
+        self.refused_recently(now) || self.failures.consecutive() > 0
+    }
+
     fn refused_recently(&self, now: Instant) -> bool {
         self.refused
             .is_some_and(|at| now.saturating_duration_since(at) < REFUSAL_TTL)
