--- a/crates/overload/src/routing/leaving_share.rs
+++ b/crates/overload/src/routing/leaving_share.rs
@@ -81,6 +81,26 @@
         self.share = (self.share + self.step(near, far)).clamp(0.0, 1.0);
     }
 
+    /// Probability with which a request leaves, given what was reported recently of the near and the far target that were
+    /// drawn for it. It is the share, or more where the near target has a queue and the far one has not: targets with few
+    /// slots fill and empty within the time of an adjustment.
+    #[must_use]
+    pub fn chance(&self, near: Option<SideCompletion>, far: Option<SideCompletion>) -> f64 {
+        let (Some(near), Some(far)) = (near, far) else {
+            return self.share;
+        };
+        if near.wait_s <= self.crossing_cost_s {
+            return self.share;
+        }
+        let saved_s = near.mean_s - far.mean_s - self.threshold_s(near.mean_s);
+        (saved_s / near.mean_s.max(f64::MIN_POSITIVE)).clamp(self.share, 1.0)
+    }
+
+    /// Time that leaving must save.
+    fn threshold_s(&self, near_s: f64) -> f64 {
+        self.crossing_cost_s + MARGIN * near_s
+    }
+
     fn step(&self, near: SideCompletion, far: Option<SideCompletion>) -> f64 {
         if near.wait_s <= self.crossing_cost_s {
             return -RETURN_STEP;
@@ -89,7 +109,7 @@
             return PROBE_SHARE - self.share;
         };
         let saved_s = near.mean_s - far.mean_s;
-        let threshold_s = self.crossing_cost_s + MARGIN * near.mean_s;
+        let threshold_s = self.threshold_s(near.mean_s);
         let gain_per_s = GAIN / (near.mean_s + far.mean_s).max(f64::MIN_POSITIVE);
         if saved_s > threshold_s {
             return (gain_per_s * (saved_s - threshold_s)).min(MAX_STEP);
--- a/crates/overload/src/routing/router.rs
+++ b/crates/overload/src/routing/router.rs
@@ -182,22 +182,8 @@
             self.leaving.adjust(near, far, now);
         }
         let usual = self.mean_latency();
-        if let Some(share) = self.leaving.share() {
-            let tiers = if rng.random::<f64>() < share {
-                [REGION, NEAR]
-            } else {
-                [NEAR, REGION]
-            };
-            let found = tiers
-                .into_iter()
-                .find_map(|tier| self.better_of_two(tier, usable, usual, now, rng));
-            // The share follows queues. A target that refuses or fails has none, so it is compared with those of other
-            // tiers as without a share.
-            if let Some((index, _)) = found
-                && !self.targets[index].is_in_trouble(now)
-            {
-                return Some(self.start(index, now));
-            }
+        if let Some(index) = self.pick_near_or_leave(usable, usual, now, rng) {
+            return Some(self.start(index, now));
         }
         let mut best: Option<(usize, f64)> = None;
         for tier in 0..TIERS {
@@ -218,6 +204,34 @@
         Some(self.start(index, now))
     }
 
+    /// Chooses a target by the share that leaves the data centre and by the queues of the targets that are drawn. `None`
+    /// if too little is known, or if the target is in trouble: it may have no queue then, so it is compared with those of
+    /// other tiers by its score.
+    fn pick_near_or_leave(
+        &self,
+        usable: &impl Fn(&Target) -> bool,
+        usual: f64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        self.leaving.share()?;
+        let (near, _) = self.better_of_two(NEAR, usable, usual, now, rng)?;
+        let far = self.better_of_two(REGION, usable, usual, now, rng);
+        let chosen = match far {
+            Some((far, _)) => {
+                let reported = |index: usize| self.targets[index].reported_s(now);
+                let chance = self.leaving.chance(reported(near), reported(far));
+                if rng.random::<f64>() < chance {
+                    far
+                } else {
+                    near
+                }
+            }
+            None => near,
+        };
+        (!self.targets[chosen].is_in_trouble(now)).then_some(chosen)
+    }
+
     /// Counts a request as in flight at a target.
     fn start(&mut self, index: usize, now: Instant) -> Pick {
         let target = &mut self.targets[index];
@@ -235,13 +249,13 @@
         let (mut sum_s, mut wait_s, mut slots) = (0.0, 0.0, 0.0);
         for &index in &self.available[tier] {
             let target = &self.targets[index];
-            let Some((completion_s, target_wait_s)) = target.reported_s(now) else {
+            let Some(completion) = target.reported_s(now) else {
                 continue;
             };
             let weight = f64::from(target.candidate.slots.max(1));
-            sum_s += completion_s * weight;
+            sum_s += completion.mean_s * weight;
             slots += weight;
-            wait_s += target_wait_s * weight;
+            wait_s += completion.wait_s * weight;
         }
         (slots > 0.0).then(|| SideCompletion {
             mean_s: sum_s / slots,
--- a/crates/overload/src/routing/target.rs
+++ b/crates/overload/src/routing/target.rs
@@ -5,7 +5,7 @@
         admission::{Level, ObservedLevel},
         routing::{
             Candidate, CandidateState, ExpectedCompletion, LoadReport, TargetStatus,
-            latency::LatencyEwma, outlier_detector::OutlierDetector,
+            latency::LatencyEwma, leaving_share::SideCompletion, outlier_detector::OutlierDetector,
         },
     },
     std::time::{Duration, Instant},
@@ -152,11 +152,14 @@
 
     /// Completion and wait in seconds as the last report states them; `None` once the wait has faded. Faded figures would
     /// make targets that are seldom used look better than others.
-    pub(crate) fn reported_s(&self, now: Instant) -> Option<(f64, f64)> {
+    pub(crate) fn reported_s(&self, now: Instant) -> Option<SideCompletion> {
         let completion = self.completion?;
         let age = now.saturating_duration_since(self.reported?);
         let wait_s = completion.wait.as_secs_f64();
-        (age < WAIT_TTL).then(|| (completion.service.as_secs_f64() + wait_s, wait_s))
+        (age < WAIT_TTL).then(|| SideCompletion {
+            mean_s: completion.service.as_secs_f64() + wait_s,
+            wait_s,
+        })
     }
 
     /// Reported wait in seconds, which fades with the age of the report.
