Keep the retries of a window for a surge of sheds; report completions only with a pace

Change: where the deployment states a bound for a window, what was earned and not spent in the last 10 s may be spent. The bound holds in each window by construction (a test plays it).

--- a/crates/node/src/data/catalogue_index.rs
+++ b/crates/node/src/data/catalogue_index.rs
@@ -2,7 +2,7 @@
 
 use {
     jujubeline_catalogue::{ANY_METHOD, CatalogueState, Entry, Workspace},
-    jujubeline_core::{EntryName, KeyDigest, Revision, WorkspaceName},
+    jujubeline_core::{Class, EntryName, KeyDigest, Revision, WorkspaceName},
     jujubeline_overload::DEFAULT_WEIGHT,
     std::{collections::HashMap, sync::Arc},
 };
@@ -31,6 +31,8 @@
     by_key: HashMap<KeyDigest, Option<Arc<Workspace>>>,
     /// Weights of the workspaces where room is short, for those that have an allowance.
     weights: HashMap<WorkspaceName, f64>,
+    /// Lowest priority of a workspace, the largest number. Workspaces above it rank before all others.
+    lowest_priority: u32,
     keys_required: bool,
 }
 
@@ -58,6 +60,7 @@
             by_name,
             by_key: workspaces_by_key(state),
             weights: weights(state),
+            lowest_priority: lowest_priority(state),
             keys_required: state.keys_required(),
         }
     }
@@ -88,6 +91,16 @@
         weight.unwrap_or(DEFAULT_WEIGHT)
     }
 
+    /// Class of a request of a workspace. The priority of workspaces precedes the class of the entry, so the requests of a
+    /// workspace above the lowest priority are critical, whatever they are.
+    #[must_use]
+    pub fn class_for(&self, workspace: &Workspace, entry: &Entry) -> Class {
+        if workspace.priority < self.lowest_priority {
+            return Class::Critical;
+        }
+        entry.class
+    }
+
     /// The workspace that holds a key.
     #[must_use]
     pub fn workspace_of(&self, key: KeyDigest) -> Option<&Arc<Workspace>> {
@@ -119,6 +132,11 @@
     }
 }
 
+fn lowest_priority(state: &CatalogueState) -> u32 {
+    let priorities = state.workspaces().map(|workspace| workspace.priority);
+    priorities.max().unwrap_or_default()
+}
+
 fn weights(state: &CatalogueState) -> HashMap<WorkspaceName, f64> {
     let limited = state.workspaces().filter_map(|workspace| {
         let rate_per_s = workspace.allowance?.rate_per_s.per_s();
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -234,6 +234,7 @@
         let workspace = match identity {
             Identity::Workspace(workspace) => {
                 context.workspace = Some(workspace.name.clone());
+                context.class = self.routes.index().class_for(&workspace, &entry);
                 Some(workspace)
             }
             Identity::Anonymous | Identity::Missing => None,
@@ -705,8 +706,7 @@
     ExchangeContext {
         deadline,
         root,
-        // A call is worth what its root request is worth, whatever class its own entry has.
-        class: hop.map_or(entry.class, |hop| hop.class),
+        class: hop.map_or(entry.class, |hop| call_class(hop, entry)),
         entry: entry.name.clone(),
         service: entry.service_at(rand::random()).clone(),
         workspace: hop.and_then(|hop| hop.workspace.clone()),
@@ -719,6 +719,15 @@
     }
 }
 
+/// Class of a call. Where requests belong to workspaces it is worth what its root request is worth; otherwise it has at
+/// least the class of the exchange that it belongs to.
+fn call_class(hop: &Hop, entry: &Entry) -> Class {
+    if hop.workspace.is_some() {
+        return hop.class;
+    }
+    hop.class.min(entry.class)
+}
+
 /// An exchange with a caller, from the request to the last byte of the response.
 #[derive(Debug)]
 pub struct EntryExchange {
--- a/crates/overload/src/admission/gate_admission.rs
+++ b/crates/overload/src/admission/gate_admission.rs
@@ -324,13 +324,14 @@
         slots.max(self.rate.utilisation(now))
     }
 
-    /// Load of the target, with the expected completion of one more request.
+    /// Load of the target, with the expected completion of one more request if the target states its pace. Only such
+    /// targets differ so much that routers should compare them by it.
     #[must_use]
     pub fn load(&self, now: Instant) -> LoadReport {
         let service = self.limit.latency().mul_f64(self.pace.factor(now));
         LoadReport {
             utilisation: self.utilisation(now),
-            completion: (!service.is_zero()).then(|| ExpectedCompletion {
+            completion: (self.pace.is_stated() && !service.is_zero()).then(|| ExpectedCompletion {
                 service,
                 wait: self.drain.time_for(self.queue.len(), now),
             }),
--- a/crates/overload/src/admission/target_pace.rs
+++ b/crates/overload/src/admission/target_pace.rs
@@ -45,6 +45,12 @@
         self.stated = now;
     }
 
+    /// Whether the target has stated a pace.
+    #[must_use]
+    pub fn is_stated(&self) -> bool {
+        self.average > 0.0
+    }
+
     /// Factor on the measured time of work: 1 without a recent statement.
     #[must_use]
     pub fn factor(&self, now: Instant) -> f64 {
--- a/crates/overload/src/retry/retry_budget.rs
+++ b/crates/overload/src/retry/retry_budget.rs
@@ -38,6 +38,9 @@
     /// Cost in retries of a retry by which the request may run a second time. Its calls may then be repeated as well,
     /// and count as load of the downstream services.
     pub rerun_cost: f64,
+    /// Whether what was not spent in the last [`RESEND_WINDOW`] may still be spent. The bound then holds in each window of
+    /// that length; without this, it holds from each second to the next, but for the reserve.
+    pub is_windowed: bool,
 }
 
 impl Default for RetryLimits {
@@ -47,6 +50,7 @@
             per_s: MIN_RETRIES_PER_SECOND,
             reserve: MAX_SAVED_RETRIES,
             rerun_cost: 1.0,
+            is_windowed: false,
         }
     }
 }
@@ -81,6 +85,7 @@
             per_s: 0.0,
             reserve: (self.slack * Self::RESERVE_PART / nodes).max(1.0),
             rerun_cost: Self::RERUN_COST,
+            is_windowed: true,
         }
     }
 }
@@ -93,6 +98,9 @@
     refilled: Instant,
     seen: HashSet<u64>,
     order: VecDeque<(Instant, u64)>,
+    /// Retries spent within the window and their costs, where the limits are windowed.
+    spent: VecDeque<(Instant, f64)>,
+    spent_sum: f64,
     evicted: u64,
 }
 
@@ -112,6 +120,8 @@
             refilled: now,
             seen: HashSet::new(),
             order: VecDeque::new(),
+            spent: VecDeque::new(),
+            spent_sum: 0.0,
             evicted: 0,
         }
     }
@@ -129,6 +139,9 @@
         self.refill(now);
         self.evict_expired(now);
         if self.seen.contains(&identity) {
+            if self.limits.is_windowed {
+                self.withdraw_within_window(1.0, now);
+            }
             self.tokens = (self.tokens - 1.0).max(0.0);
             return Arrival::Resend;
         }
@@ -157,6 +170,9 @@
     }
 
     fn withdraw_cost(&mut self, cost: f64, now: Instant) -> bool {
+        if self.limits.is_windowed {
+            return self.withdraw_within_window(cost, now);
+        }
         self.refill(now);
         if self.tokens < cost {
             return false;
@@ -165,6 +181,27 @@
         true
     }
 
+    /// A service that sheds many requests at once needs more retries for a while than it earns meanwhile. What it has
+    /// earned and not spent in the window before is left for it.
+    fn withdraw_within_window(&mut self, cost: f64, now: Instant) -> bool {
+        self.evict_expired(now);
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "the number of tracked requests is far below the precision of a float"
+        )]
+        let earned = self.limits.share * self.order.len() as f64;
+        if self.spent_sum + cost > self.limits.reserve + earned {
+            return false;
+        }
+        self.spend(cost, now);
+        true
+    }
+
+    fn spend(&mut self, cost: f64, now: Instant) {
+        self.spent.push_back((now, cost));
+        self.spent_sum += cost;
+    }
+
     /// Number of retries in the bucket, as of the last refill.
     #[must_use]
     pub const fn available(&self) -> f64 {
@@ -184,8 +221,15 @@
             (self.tokens + elapsed.as_secs_f64() * self.limits.per_s).min(self.limits.reserve);
     }
 
-    /// Removes the requests that are older than the resend window.
+    /// Removes the requests and the spent retries that are older than the resend window.
     fn evict_expired(&mut self, now: Instant) {
+        while let Some(&(at, cost)) = self.spent.front() {
+            if now.saturating_duration_since(at) < RESEND_WINDOW {
+                break;
+            }
+            self.spent.pop_front();
+            self.spent_sum -= cost;
+        }
         while let Some(&(at, identity)) = self.order.front() {
             if now.saturating_duration_since(at) < RESEND_WINDOW {
                 break;
--- a/crates/overload/tests/retries.rs
+++ b/crates/overload/tests/retries.rs
@@ -3,7 +3,8 @@
 use {
     jujubeline_core::{Outcome, RetryReason, RetryStop, cases},
     jujubeline_overload::{
-        Arrival, FailedAttempt, RetryAllowance, RetryBudget, RetryLedger, decide_retry,
+        Arrival, FailedAttempt, FleetRetryLimits, RetryAllowance, RetryBudget, RetryLedger,
+        decide_retry,
     },
     std::time::{Duration, Instant},
 };
@@ -79,3 +80,44 @@
     assert_eq!(budget.record_arrival(1, now), Arrival::First);
     assert!(budget.withdraw(now));
 }
+
+/// Guards against a service that sheds half of its requests for some seconds and whose budget is spent at once, although
+/// little was retried before; and against more retries in any window than the share of its requests.
+#[test]
+fn unspent_retries_of_the_window_are_left_for_a_surge_of_sheds() {
+    let limits = FleetRetryLimits {
+        share: 0.2,
+        slack: 48.0,
+    };
+    let start = Instant::now();
+    let mut budget = RetryBudget::with_limits(limits.per_node(48), start);
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for step in 0..2_500_u32 {
+        let now = start + Duration::from_millis(10) * step;
+        budget.record_arrival(u64::from(step), now);
+        requests.push(now);
+        // From the tenth second on every other request is shed.
+        if step >= 1_000 && step % 2 == 0 && budget.withdraw(now) {
+            retries.push(now);
+        }
+    }
+    let window = Duration::from_secs(10);
+    let within = |times: &[Instant], end: Instant| {
+        let after = end.checked_sub(window).unwrap_or(start);
+        times
+            .iter()
+            .filter(|at| **at > after && **at <= end)
+            .count()
+    };
+    let first_second = retries
+        .iter()
+        .filter(|at| **at < start + Duration::from_secs(11));
+    assert_eq!(
+        first_second.count(),
+        50,
+        "all sheds of the first second are retried"
+    );
+    for end in &retries {
+        assert!(within(&retries, *end) * 5 <= within(&requests, *end) + 5);
+    }
+}
