--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -33,6 +33,10 @@
 /// A catalogue entry: a kind of request, its owner, its class of importance and its limits.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property of a kind of request"
+)]
 pub struct Entry {
     /// Unique name.
     pub name: EntryName,
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -437,8 +437,8 @@
             Edit::Retire(instance) => self.retired.set(revision, instance, ()),
             Edit::Reinstate(instance) => self.retired.remove(revision, instance),
             Edit::SetWorkspace(workspace) => {
-                self.workspaces
-                    .set(revision, &workspace.name, Arc::new(workspace.clone()))
+                let value = Arc::new(workspace.clone());
+                self.workspaces.set(revision, &workspace.name, value);
             }
             Edit::RemoveWorkspace(name) => self.workspaces.remove(revision, name),
         }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -204,9 +204,20 @@
 fn explain() -> Box<dyn Parser<Action>> {
     let method = positional::<String>("METHOD").help("HTTP method, such as GET");
     let path = positional::<String>("PATH").help("Path, such as /schedules/7");
-    construct!(method, path)
-        .map(|(method, path)| {
-            action(move |context| async move { operators::explain(&context, &method, &path).await })
+    let host = long("host")
+        .help("Host that the request names")
+        .argument::<String>("HOST")
+        .optional();
+    let workspace = long("workspace")
+        .help("Workspace to which the request belongs")
+        .argument::<String>("NAME")
+        .optional();
+    construct!(host, workspace, method, path)
+        .map(|(host, workspace, method, path)| {
+            action(move |context| async move {
+                let (host, workspace) = (host.as_deref(), workspace.as_deref());
+                operators::explain(&context, &method, &path, host, workspace).await
+            })
         })
         .boxed()
 }
--- a/crates/cli/src/operators.rs
+++ b/crates/cli/src/operators.rs
@@ -146,13 +146,22 @@
     context: &Context,
     method: &str,
     path: &str,
+    host: Option<&str>,
+    workspace: Option<&str>,
 ) -> Result<(), Report<CliError>> {
     let method = utf8_percent_encode(method, &ENCODED_IN_QUERY);
     let path = utf8_percent_encode(path, &ENCODED_IN_QUERY);
-    let value = context
-        .node()?
-        .get(&format!("/explain?method={method}&path={path}"))
-        .await?;
+    let mut query = format!("/explain?method={method}&path={path}");
+    for (name, value) in [("host", host), ("workspace", workspace)] {
+        if let Some(value) = value {
+            let value = utf8_percent_encode(value, &ENCODED_IN_QUERY);
+            query.push('&');
+            query.push_str(name);
+            query.push('=');
+            query.extend(value);
+        }
+    }
+    let value = context.node()?.get(&query).await?;
     let text = serde_json::to_string_pretty(&value).unwrap_or_else(|_| value.to_string());
     context.print(&text, &value)
 }
--- a/crates/coordination/tests/allowance.rs
+++ b/crates/coordination/tests/allowance.rs
@@ -1,5 +1,8 @@
 //! Allowances of workspaces: the bound over all nodes, and service within it, while nodes and messages fail.
 
+#![allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Counts of the model are small.
+#![allow(clippy::needless_pass_by_value)] // quickcheck passes arguments by value
+
 mod network;
 
 use {
--- a/crates/node/src/allowances/allowances.rs
+++ b/crates/node/src/allowance/allowances.rs
@@ -103,7 +103,7 @@
 
     /// Notes each change of the members when it happens, until the control plane ends. A share that is new here has its
     /// first token a while after the change, not after the first request.
-    pub async fn follow_members(&self) {
+    pub async fn follow_members(self: Arc<Self>) {
         let mut members = self.context.members.clone();
         loop {
             drop(self.refreshed(Instant::now()));
--- a/crates/node/src/bin/fixed_views.rs
+++ b/crates/node/src/bin/fixed_views.rs
@@ -7,7 +7,7 @@
 use {
     jujubeline_catalogue::{CatalogueState, Change, Edit},
     jujubeline_coordination::membership::{Member, Presence, TargetState},
-    jujubeline_node::{LocalTarget, Node, NodeSettings, Sockets, Views},
+    jujubeline_node::{LocalTarget, Node, NodeSettings, Sockets, Views, data::Agreed},
     std::{error::Error, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncBufReadExt, BufReader, stdin},
@@ -130,7 +130,7 @@
     let sockets = Sockets::bind(&settings)
         .await
         .map_err(|error| format!("{error:?}"))?;
-    let node = Node::start_with(settings, views, None, None, sockets)
+    let node = Node::start_with(settings, views, Agreed::default(), sockets)
         .map_err(|error| format!("{error:?}"))?;
     println!("callers {}", node.callers_address());
     println!("data {}", node.data_address());
--- a/crates/node/src/control/plane.rs
+++ b/crates/node/src/control/plane.rs
@@ -162,15 +162,12 @@
             Arc::clone(&unreadable_members),
             Arc::clone(&allowances),
         ));
-        let follower = Arc::clone(&allowances);
-        tasks.spawn(async move { follower.follow_members().await });
+        tasks.spawn(Arc::clone(&allowances).follow_members());
         tasks.spawn(tick(membership.clone()));
         tasks.spawn(follow_target(membership.clone(), target_changes));
         let revision_query = Arc::new(Notify::new());
-        tasks.spawn(query_revisions(
-            membership.clone(),
-            Arc::clone(&revision_query),
-        ));
+        let query = Arc::clone(&revision_query);
+        tasks.spawn(query_revisions(membership.clone(), query));
         tasks.spawn(platform_follow::report_revisions(
             catalogue.view(),
             membership.clone(),
--- a/crates/node/src/data/catalogue_index.rs
+++ b/crates/node/src/data/catalogue_index.rs
@@ -27,10 +27,9 @@
     revision: Revision,
     by_route: HashMap<RouteKey, Vec<Node>>,
     by_name: HashMap<EntryName, Arc<Entry>>,
+    workspaces: HashMap<WorkspaceName, Arc<Workspace>>,
     /// Workspaces by their keys. A key that two workspaces hold identifies neither.
     by_key: HashMap<KeyDigest, Option<Arc<Workspace>>>,
-    /// Weights of the workspaces where room is short, for those that have an allowance.
-    weights: HashMap<WorkspaceName, f64>,
     /// Lowest priority of a workspace, the largest number. Workspaces above it rank before all others.
     lowest_priority: u32,
     keys_required: bool,
@@ -59,7 +58,10 @@
             by_route,
             by_name,
             by_key: workspaces_by_key(state),
-            weights: weights(state),
+            workspaces: state
+                .workspaces()
+                .map(|workspace| (workspace.name.clone(), Arc::clone(workspace)))
+                .collect(),
             lowest_priority: lowest_priority(state),
             keys_required: state.keys_required(),
         }
@@ -87,8 +89,17 @@
     /// the operators grant it.
     #[must_use]
     pub fn weight_of(&self, workspace: &str) -> f64 {
-        let weight = self.weights.get(workspace).copied();
-        weight.unwrap_or(DEFAULT_WEIGHT)
+        let allowance = self.workspace(workspace).and_then(|known| known.allowance);
+        let weight = allowance.map(|allowance| allowance.rate_per_s.per_s());
+        weight
+            .filter(|&weight| weight > 0.0)
+            .unwrap_or(DEFAULT_WEIGHT)
+    }
+
+    /// Looks up a workspace by its name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
     }
 
     /// Class of a request of a workspace. The priority of workspaces precedes the class of the entry, so the requests of a
@@ -137,16 +148,6 @@
     priorities.max().unwrap_or_default()
 }
 
-fn weights(state: &CatalogueState) -> HashMap<WorkspaceName, f64> {
-    let limited = state.workspaces().filter_map(|workspace| {
-        let rate_per_s = workspace.allowance?.rate_per_s.per_s();
-        Some((workspace.name.clone(), rate_per_s))
-    });
-    limited
-        .filter(|(_, rate_per_s)| *rate_per_s > 0.0)
-        .collect()
-}
-
 fn workspaces_by_key(state: &CatalogueState) -> HashMap<KeyDigest, Option<Arc<Workspace>>> {
     let mut by_key = HashMap::new();
     for workspace in state.workspaces() {
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -52,6 +52,15 @@
     data_address: SocketAddr,
 }
 
+/// What the nodes agree on with each other, as far as the node takes part.
+#[derive(Debug, Clone, Default)]
+pub struct Agreed {
+    /// Claims of at-most-once work; without them such work is refused.
+    pub claims: Option<Arc<Claims>>,
+    /// Tokens of the workspaces' allowances; without them requests are not limited.
+    pub allowances: Option<Arc<Allowances>>,
+}
+
 impl DataPath {
     /// Starts the tasks of the data path and serves on `callers` and `data`, which are already bound.
     ///
@@ -62,8 +71,7 @@
         settings: &NodeSettings,
         incarnation: Incarnation,
         views: &Views,
-        claims: Option<Arc<Claims>>,
-        allowances: Option<Arc<Allowances>>,
+        agreed: Agreed,
         metrics: Arc<Metrics>,
         callers: Listener,
         data: Listener,
@@ -123,7 +131,7 @@
             target: local,
             routes: Arc::clone(&routes),
             service: settings.service.clone(),
-            claims: claims.clone(),
+            claims: agreed.claims.clone(),
             dialect: Arc::clone(&settings.dialect),
             decisions: Arc::clone(&decisions),
             metrics: Arc::clone(&metrics),
@@ -138,8 +146,8 @@
             peers,
             gate: Arc::clone(&gate),
             hops,
-            claims,
-            allowances,
+            claims: agreed.claims,
+            allowances: agreed.allowances,
             reports: parking_lot::Mutex::default(),
             data_centre: settings.data_centre.clone(),
             dialect: Arc::clone(&settings.dialect),
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -457,7 +457,11 @@
             }
             Err(refused) => {
                 let level = LevelSource::Refusal(refused.level);
-                (Some(refused.retries_unused), level, refused.load)
+                (
+                    Some(refused.retries_unused),
+                    level,
+                    refused.load.as_deref().copied(),
+                )
             }
         };
         accepted.allowance.settle(&self.hops, grant, returned);
--- a/crates/node/src/data/gate.rs
+++ b/crates/node/src/data/gate.rs
@@ -55,7 +55,7 @@
     /// Admission level of the gate for the entry; none when the gate was not reached or did not send one.
     pub level: Option<Level>,
     /// Load of the target; none when unknown.
-    pub load: Option<LoadReport>,
+    pub load: Option<Box<LoadReport>>,
     /// What the target states about itself; none when the gate was not reached or has nothing to report.
     pub report: Option<TargetReport>,
 }
@@ -497,7 +497,7 @@
             refusal,
             retries_unused,
             level: Some(level),
-            load: Some(load),
+            load: Some(Box::new(load)),
             report: self.tracker.report(),
         }
     }
--- a/crates/node/src/data/gate_server.rs
+++ b/crates/node/src/data/gate_server.rs
@@ -62,10 +62,8 @@
     if let Some(report) = &refused.report {
         write_report(response.headers_mut(), report);
     }
-    if let Some(load) = refused.load {
-        response
-            .headers_mut()
-            .insert(names::LOAD, load_value(&load));
+    if let Some(load) = &refused.load {
+        response.headers_mut().insert(names::LOAD, load_value(load));
     }
     response
 }
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -37,7 +37,7 @@
     catalogue_index::CatalogueIndex,
     context::ExchangeContext,
     crash_watch::CrashWatch,
-    data_path::DataPath,
+    data_path::{Agreed, DataPath},
     entry::EntryNode,
     gate::{Gate, GateRefusal},
     gate_server::serve_entry_node,
--- a/crates/node/src/data/peers.rs
+++ b/crates/node/src/data/peers.rs
@@ -322,7 +322,7 @@
         },
         retries_unused: retries_unused(headers).unwrap_or(0),
         level: read_level(headers),
-        load: read_load(headers),
+        load: read_load(headers).map(Box::new),
         report: read_report(headers),
     }
 }
--- a/crates/node/src/data/routes.rs
+++ b/crates/node/src/data/routes.rs
@@ -59,6 +59,16 @@
         self.services.read().get(name).cloned()
     }
 
+    /// Services whose requests leave the data centre by a share, with the share.
+    #[must_use]
+    pub fn leaving_shares(&self) -> Vec<(ServiceName, f64)> {
+        let services = Arc::clone(&self.services.read());
+        services
+            .iter()
+            .filter_map(|(name, service)| Some((name.clone(), service.leaving_share()?)))
+            .collect()
+    }
+
     /// Rebuilds index and targets from the views. The index is replaced last, so that a node that reports a catalogue
     /// revision already has the targets that were in the views together with it.
     pub fn refresh(&self, views: &mut Views, peers: &Peers) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The node: one process beside each target instance, between callers and targets.
 
-mod allowances;
+mod allowance;
 pub mod claims;
 mod claims_link;
 pub mod control;
@@ -16,7 +16,7 @@
 mod view;
 
 pub use {
-    allowances::{AllowanceCounts, Allowances, AllowancesContext},
+    allowance::{AllowanceCounts, Allowances, AllowancesContext},
     error::{NodeError, NodeResult},
     metrics::Metrics,
     node::{Node, Sockets},
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -7,6 +7,7 @@
         control::{
             CallCounts, Control, DatagramCounts, MembershipHandle, PullCounts, UnreadableMembers,
         },
+        data::Routes,
         error::{NodeError, NodeResult, report},
         target_tracker::TargetTracker,
     },
@@ -155,6 +156,21 @@
         }
     }
 
+    /// Adds the share of each service's requests that leaves the data centre.
+    pub fn observe_leaving(&self, routes: &Arc<Routes>) {
+        let routes = Arc::clone(routes);
+        self.provider
+            .meter("jujubeline")
+            .f64_observable_gauge("jujubeline_leaving_share")
+            .with_description("Share of the requests that leaves the data centre, by service.")
+            .with_callback(move |observer| {
+                for (service, share) in routes.leaving_shares() {
+                    observer.observe(share, &[KeyValue::new("service", service.to_string())]);
+                }
+            })
+            .build();
+    }
+
     /// Adds metrics of the notices of the local target.
     pub fn observe_target(&self, tracker: &Arc<TargetTracker>) {
         observe_notices(&self.provider.meter("jujubeline"), tracker);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        Allowances, CatalogueSource, Metrics, NodeSettings, Views,
+        CatalogueSource, Metrics, NodeSettings, Views,
         claims::{Claims, ClaimsSettings},
         claims_link::{claim_calls, serve_claims},
         control::Control,
         crash_exchange::exchange_crashes,
-        data::{DataPath, Listener, ListenerKind},
+        data::{Agreed, DataPath, Listener, ListenerKind},
         error::{NodeError, NodeResult},
         metrics::{Exporter, ObservedValues},
         ops::OperatorsServer,
@@ -100,13 +100,11 @@
         let calls = control
             .take_claim_calls()
             .change_context(NodeError::Start)?;
-        let mut node = Self::start_with(
-            settings,
-            control.views(),
-            claims.clone(),
-            Some(control.allowances()),
-            sockets,
-        )?;
+        let agreed = Agreed {
+            claims: claims.clone(),
+            allowances: Some(control.allowances()),
+        };
+        let mut node = Self::start_with(settings, control.views(), agreed, sockets)?;
         let tasks = node.data.tasks().clone();
         if let Some(claims) = claims {
             node.data
@@ -127,8 +125,8 @@
         Ok(node)
     }
 
-    /// Starts a node without a control plane on bound sockets; the caller updates the views. Without `allowances` the
-    /// requests of workspaces are not limited.
+    /// Starts a node without a control plane on bound sockets; the caller updates the views. Without
+    /// allowances the requests of workspaces are not limited.
     ///
     /// # Errors
     ///
@@ -136,8 +134,7 @@
     pub fn start_with(
         settings: NodeSettings,
         views: Views,
-        claims: Option<Arc<Claims>>,
-        allowances: Option<Arc<Allowances>>,
+        agreed: Agreed,
         sockets: Sockets,
     ) -> NodeResult<Self> {
         let exporter = Arc::new(Exporter::new()?);
@@ -146,14 +143,14 @@
             &settings,
             incarnation,
             &views,
-            claims.clone(),
-            allowances,
+            agreed.clone(),
             exporter.metrics(),
             sockets.callers,
             sockets.data,
         )?;
         exporter.observe(&views, observed_values(&data));
         exporter.observe_target(&data.gate.tracker);
+        exporter.observe_leaving(&data.entry.routes);
         let operators_address = sockets.operators.local_address()?;
         let operators = Arc::new(OperatorsServer::new(
             settings.clone(),
@@ -178,7 +175,7 @@
             settings,
             views,
             control: None,
-            claims,
+            claims: agreed.claims,
             data,
             exporter,
             operators_address,
--- a/crates/node/src/ops/mod.rs
+++ b/crates/node/src/ops/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     announcement::Announcement,
-    explanation::{Explanation, TargetExplanation},
+    explanation::{Explanation, TargetExplanation, WorkspaceExplanation},
     operators_server::OperatorsServer,
     status::Status,
 };
--- a/crates/node/src/ops/operators_server.rs
+++ b/crates/node/src/ops/operators_server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Announcement, Explanation, Status, TargetExplanation,
+        Announcement, Explanation, Status, TargetExplanation, WorkspaceExplanation,
         target_probe::{ProbeResponse, probe_target},
     },
     crate::{
@@ -139,7 +139,35 @@
         let index = self.entry.routes.index();
         let host = value("host");
         let entry = index.find(host.as_deref(), &method, &path).cloned();
-        json(&self.explanation(entry, &method, &path))
+        let mut explanation = self.explanation(entry, &method, &path);
+        if let Some(name) = value("workspace") {
+            self.explain_workspace(&mut explanation, &name);
+        }
+        json(&explanation)
+    }
+
+    fn explain_workspace(&self, explanation: &mut Explanation, name: &str) {
+        let index = self.entry.routes.index();
+        let Some(workspace) = index.workspace(name) else {
+            let problem = format!("no workspace {name:?} is in the catalogue");
+            explanation.why.push(problem);
+            return;
+        };
+        let entry = explanation.entry.as_deref();
+        let allowances = self.entry.allowances.as_ref();
+        let tokens = allowances.and_then(|tokens| tokens.tokens(name, Instant::now()));
+        if workspace.allowance.is_some() && tokens == Some(0) {
+            explanation.why.push(format!(
+                "this node holds no token of {name}; it asks the owners of the shares with the next request"
+            ));
+        }
+        explanation.workspace = Some(WorkspaceExplanation {
+            name: workspace.name.clone(),
+            priority: workspace.priority,
+            class: entry.map(|entry| index.class_for(workspace, entry)),
+            allowance: workspace.allowance,
+            tokens,
+        });
     }
 
     fn explanation(&self, entry: Option<Arc<Entry>>, method: &str, path: &str) -> Explanation {
@@ -179,8 +207,20 @@
                 ));
             }
         }
+        let service = entry
+            .as_ref()
+            .and_then(|entry| self.entry.routes.service(&entry.service));
+        let leaving_share = service.and_then(|service| service.leaving_share());
+        if let Some(share) = leaving_share.filter(|share| *share > 0.0) {
+            why.push(format!(
+                "{:.0} % of the requests leave the data centre, because targets there have room sooner",
+                share * 100.0
+            ));
+        }
         Explanation {
             entry,
+            workspace: None,
+            leaving_share,
             targets,
             admission_level: level.keys(),
             why,
@@ -203,6 +243,12 @@
                 latency_ms: status
                     .latency
                     .map(|latency| latency.as_secs_f64() * 1_000.0),
+                service_ms: status
+                    .completion
+                    .map(|completion| completion.service.as_secs_f64() * 1_000.0),
+                wait_ms: status
+                    .completion
+                    .map(|completion| completion.wait.as_secs_f64() * 1_000.0),
                 ejected: status.ejected,
                 admission_level: level.keys(),
             })
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -15,6 +15,7 @@
     jujubeline_node::{
         LocalTarget, Node, NodeSettings, Sockets, Views,
         claims::{CallFailed, ClaimCalls, ClaimPeer, Claims, ClaimsSettings},
+        data::Agreed,
     },
     jujubeline_platform::{PlatformClient, PlatformSettings},
     jujubeline_standin::{
@@ -187,7 +188,11 @@
     ));
     let known = (Arc::from(service), Arc::clone(&claims));
     network.nodes.lock().unwrap().insert(control_address, known);
-    let node = Node::start_with(settings, views, Some(claims), None, sockets).unwrap();
+    let agreed = Agreed {
+        claims: Some(claims),
+        allowances: None,
+    };
+    let node = Node::start_with(settings, views, agreed, sockets).unwrap();
     let member = Member {
         node: name.into(),
         incarnation: 1,
--- a/crates/overload/src/routing/candidate.rs
+++ b/crates/overload/src/routing/candidate.rs
@@ -82,6 +82,8 @@
     pub in_flight: u32,
     /// Moving average of latency; `None` before the first sample.
     pub latency: Option<Duration>,
+    /// Expected completion of one more request, as last reported; `None` without a recent report.
+    pub completion: Option<ExpectedCompletion>,
     /// Whether the target is ejected because of failures.
     pub ejected: bool,
     /// Whether the target counts as loaded, so that targets of more distant tiers are considered as well.
--- a/crates/overload/src/routing/target.rs
+++ b/crates/overload/src/routing/target.rs
@@ -156,7 +156,7 @@
         let completion = self.completion?;
         let age = now.saturating_duration_since(self.reported?);
         let wait_s = completion.wait.as_secs_f64();
-        (age < WAIT_TTL).then(|| SideCompletion {
+        (age < WAIT_TTL).then_some(SideCompletion {
             mean_s: completion.service.as_secs_f64() + wait_s,
             wait_s,
         })
@@ -185,6 +185,7 @@
             },
             in_flight: self.in_flight,
             latency: self.latency.known_mean().map(Duration::from_secs_f64),
+            completion: self.completion.filter(|_| self.has_report(now)),
             ejected,
             loaded: self.is_loaded(now),
         }
--- a/crates/overload/tests/leaving.rs
+++ b/crates/overload/tests/leaving.rs
@@ -1,5 +1,7 @@
 //! Leaving the data centre: what callers get and what crosses, in a model of two data centres without a network.
 
+#![allow(clippy::cast_possible_truncation, clippy::cast_precision_loss)] // Counts of the model are small.
+
 use {
     jujubeline_core::cases,
     jujubeline_overload::{
@@ -72,9 +74,8 @@
                 targets[0][..half]
                     .iter_mut()
                     .for_each(|target| target.is_gone = true);
-                for (entry, router) in routers.iter_mut().enumerate() {
+                for router in &mut routers {
                     router.update(&self.candidates(true), now);
-                    let _ = entry;
                 }
             }
             self.finish_work(&mut targets, &mut routers, &mut played, now);
@@ -309,11 +310,11 @@
     assert!(mean > 50.0 && settled.iter().all(is_near), "{settled:?}");
 }
 
-fn side(mean_ms: f64, wait_ms: f64) -> Option<SideCompletion> {
-    Some(SideCompletion {
+const fn side(mean_ms: f64, wait_ms: f64) -> SideCompletion {
+    SideCompletion {
         mean_s: mean_ms / 1e3,
         wait_s: wait_ms / 1e3,
-    })
+    }
 }
 
 cases! {
@@ -334,11 +335,11 @@
         assert!(share.share().zip(expected).is_none_or(is_near), "{:?}", share.share());
         assert_eq!(share.share().is_some(), expected.is_some());
     }
-    much_sooner_far: (side(400.0, 300.0), side(50.0, 0.0), Some(1.0)),
-    saves_less_than_a_crossing_costs: (side(120.0, 20.0), side(100.0, 0.0), Some(0.0)),
-    saves_little_of_a_long_wait: (side(1_000.0, 900.0), side(920.0, 820.0), Some(0.0)),
-    sooner_near: (side(100.0, 50.0), side(200.0, 150.0), Some(0.0)),
-    no_queue_near: (side(300.0, 0.0), side(50.0, 0.0), Some(0.0)),
-    far_unknown: (side(400.0, 300.0), None, Some(0.05)),
-    near_unknown: (None, side(50.0, 0.0), None),
+    much_sooner_far: (Some(side(400.0, 300.0)), Some(side(50.0, 0.0)), Some(1.0)),
+    saves_less_than_a_crossing_costs: (Some(side(120.0, 20.0)), Some(side(100.0, 0.0)), Some(0.0)),
+    saves_little_of_a_long_wait: (Some(side(1_000.0, 900.0)), Some(side(920.0, 820.0)), Some(0.0)),
+    sooner_near: (Some(side(100.0, 50.0)), Some(side(200.0, 150.0)), Some(0.0)),
+    no_queue_near: (Some(side(300.0, 0.0)), Some(side(50.0, 0.0)), Some(0.0)),
+    far_unknown: (Some(side(400.0, 300.0)), None, Some(0.05)),
+    near_unknown: (None, Some(side(50.0, 0.0)), None),
 }
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -122,10 +122,6 @@
     Ok(())
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "the shifted value fits into 64 bits"
-)]
 const fn high(bits: u128) -> u64 {
     (bits >> 64) as u64
 }
