--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -1,7 +1,7 @@
 //! The content of a catalogue, without revisions.
 
 use {
-    crate::{Edit, Entry, Workspace},
+    crate::{Edit, Entry, Workspace, workspace_file::WorkspaceTable},
     jujubeline_core::{EntryName, NodeId, WorkspaceName},
     serde::Serialize,
     std::collections::{BTreeMap, BTreeSet},
@@ -86,5 +86,5 @@
     workspaces: &BTreeMap<WorkspaceName, Workspace>,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
-    serializer.collect_seq(workspaces.values())
+    serializer.collect_seq(workspaces.values().map(WorkspaceTable::from))
 }
--- a/crates/catalogue/src/workspace_file.rs
+++ b/crates/catalogue/src/workspace_file.rs
@@ -8,10 +8,35 @@
         workspace::{MAX_RATE_PER_S, MAX_WORKSPACES},
     },
     jujubeline_core::KeyDigest,
+    serde::Serialize,
     std::collections::BTreeMap,
     toml::de::DeTable,
 };
 
+/// A workspace as a table of the file, in which the allowance has no table of its own.
+#[derive(Debug, Serialize)]
+pub(crate) struct WorkspaceTable<'a> {
+    name: &'a str,
+    keys_sha256: &'a [KeyDigest],
+    priority: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rate_per_s: Option<Rate>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    burst: Option<u32>,
+}
+
+impl<'a> From<&'a Workspace> for WorkspaceTable<'a> {
+    fn from(workspace: &'a Workspace) -> Self {
+        Self {
+            name: &workspace.name,
+            keys_sha256: &workspace.keys_sha256,
+            priority: workspace.priority,
+            rate_per_s: workspace.allowance.map(|allowance| allowance.rate_per_s),
+            burst: workspace.allowance.map(|allowance| allowance.burst),
+        }
+    }
+}
+
 /// Reads the tables written as `[[workspace]]`.
 pub(crate) fn read_workspaces(
     tables: Vec<(usize, DeTable<'_>)>,
