--- a/crates/coordination/tests/allowance.rs
+++ b/crates/coordination/tests/allowance.rs
@@ -276,6 +276,8 @@
         assert!(fleet.served.len() > 200, "{} served", fleet.served.len());
     }
     spread: (calm(|_| [20; NODES]), 0),
+    spread_near_the_limit: (calm(|_| [31; NODES]), 0),
+    at_two_nodes_near_the_limit: (calm(|_| [93, 93, 0, 0, 0, 0]), 0),
     at_one_node: (calm(|_| [0, 0, 0, 0, 99, 0]), 0),
     moving: (calm(|second| std::array::from_fn(|node| if node == second % NODES { 99 } else { 0 })), 0),
     one_owner_cut_off: (Day { cut: Some((1, 0, 255)), ..calm(|_| [20, 0, 20, 20, 20, 20]) }, 0),
