--- a/crates/coordination/src/allowance/borrower.rs
+++ b/crates/coordination/src/allowance/borrower.rs
@@ -167,15 +167,10 @@
         Ok(false)
     }
 
-    /// A waiting request has left.
-    pub const fn leave(&mut self) {
-        self.waiting = self.waiting.saturating_sub(1);
-    }
-
     /// Returns the token of a request that has not run.
     pub fn give_back(&mut self, now: Instant) {
         if now < self.tokens_until {
-            self.tokens += 1;
+            self.tokens = self.tokens.saturating_add(1);
         }
     }
 
@@ -214,7 +209,7 @@
             self.tokens = 0;
             self.tokens_until = until;
         }
-        self.tokens += loan.tokens;
+        self.tokens = self.tokens.saturating_add(loan.tokens);
         // The earlier end holds for all tokens, so that none is used after its own.
         self.tokens_until = self.tokens_until.min(until);
     }
--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -286,6 +286,19 @@
         assert!(written.contains("200 OK"), "{written}");
     }
 
+    fn replace_configuration(&self, object: &serde_json::Value) {
+        let body = object.to_string();
+        let length = body.len();
+        let written = exchange(
+            self.store.address(),
+            &format!(
+                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            ),
+        );
+        assert!(written.contains("200 OK"), "{written}");
+    }
+
     /// Replaces the configuration by one with workspaces: rows of name, keys, priority, rate and burst. The entry for
     /// paths in `/safe/public/` is public.
     pub fn write_workspaces(&self, version: u32, rows: &serde_json::Value) {
@@ -301,16 +314,7 @@
             "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
             "tenants": {"columns": ["name", "apiKeys", "priority", "ratePerS", "burst"], "rows": rows},
         }});
-        let body = object.to_string();
-        let length = body.len();
-        let written = exchange(
-            self.store.address(),
-            &format!(
-                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
-                 content-length: {length}\r\n\r\n{body}"
-            ),
-        );
-        assert!(written.contains("200 OK"), "{written}");
+        self.replace_configuration(&object);
     }
 
     /// Replaces the configuration by one with this many routes, whose paths are `/r/NUMBER/`.
@@ -337,16 +341,7 @@
             },
             "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["schedules", "/health", 640]]},
         }});
-        let body = object.to_string();
-        let length = body.len();
-        let written = exchange(
-            self.store.address(),
-            &format!(
-                "PUT /api/objects/config/main HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
-                 content-length: {length}\r\n\r\n{body}"
-            ),
-        );
-        assert!(written.contains("200 OK"), "{written}");
+        self.replace_configuration(&object);
     }
 
     /// Sends a heartbeat of a process with its start, its number and its state.
--- a/crates/protocol/src/catalogue.rs
+++ b/crates/protocol/src/catalogue.rs
@@ -8,7 +8,7 @@
             MAX_OWNER_BYTES, MAX_PATH_BYTES, MAX_SERVICES, check_size, list_len, name, name_within,
             text,
         },
-        node_capnp::{self, difference, entry, instance_changed, workspace},
+        node_capnp::{self, difference, entry, entry_removed, instance_changed, workspace},
     },
     capnp::struct_list,
     jujubeline_catalogue::{
@@ -16,6 +16,7 @@
         ServiceLimit, ServiceLimits, Share, Workspace, WorkspaceChanges,
     },
     jujubeline_core::{Class, KeyDigest, NodeId, Revision},
+    std::sync::Arc,
 };
 
 /// Writes the difference between two catalogue revisions.
@@ -38,12 +39,7 @@
         write_entry(item.init_entry(), entry);
     }
     let len = list_len("difference.removed", difference.removed.len(), MAX_ENTRIES)?;
-    let mut removed = builder.reborrow().init_removed(len);
-    for (index, (revision, name)) in (0..).zip(&difference.removed) {
-        let mut item = removed.reborrow().get(index);
-        item.set_revision(*revision);
-        item.set_name(&**name);
-    }
+    write_removed(builder.reborrow().init_removed(len), &difference.removed);
     let len = list_len(
         "difference.retired",
         difference.retired.len(),
@@ -93,13 +89,30 @@
         changes.removed.len(),
         MAX_WORKSPACES_LISTED,
     )?;
-    let mut removed = builder.init_workspaces_removed(len);
-    for (index, (revision, name)) in (0..).zip(&changes.removed) {
-        let mut item = removed.reborrow().get(index);
+    write_removed(builder.init_workspaces_removed(len), &changes.removed);
+    Ok(())
+}
+
+fn write_removed(
+    mut list: struct_list::Builder<'_, entry_removed::Owned>,
+    removed: &[(Revision, Arc<str>)],
+) {
+    for (index, (revision, name)) in (0..).zip(removed) {
+        let mut item = list.reborrow().get(index);
         item.set_revision(*revision);
         item.set_name(&**name);
     }
-    Ok(())
+}
+
+fn read_removed(
+    list: struct_list::Reader<'_, entry_removed::Owned>,
+) -> Result<Vec<(Revision, Arc<str>)>, ProtocolError> {
+    list.iter()
+        .map(|item| {
+            let name = name_within("removed.name", item.get_name()?, MAX_ENTRY_NAME_BYTES)?;
+            Ok((item.get_revision(), name))
+        })
+        .collect()
 }
 
 fn write_workspace(
@@ -149,13 +162,7 @@
             .iter()
             .map(|item| Ok((item.get_revision(), read_workspace(item.get_workspace()?)?)))
             .collect::<Result<_, ProtocolError>>()?,
-        removed: removed
-            .iter()
-            .map(|item| {
-                let name = name_within("removed.name", item.get_name()?, MAX_ENTRY_NAME_BYTES)?;
-                Ok((item.get_revision(), name))
-            })
-            .collect::<Result<_, ProtocolError>>()?,
+        removed: read_removed(removed)?,
     })
 }
 
@@ -244,13 +251,7 @@
             .iter()
             .map(|item| Ok((item.get_revision(), read_entry(item.get_entry()?)?)))
             .collect::<Result<_, ProtocolError>>()?,
-        removed: removed
-            .iter()
-            .map(|item| {
-                let name = name_within("removed.name", item.get_name()?, MAX_ENTRY_NAME_BYTES)?;
-                Ok((item.get_revision(), name))
-            })
-            .collect::<Result<_, ProtocolError>>()?,
+        removed: read_removed(removed)?,
         retired: read_instances(reader.get_retired()?)?,
         reinstated: read_instances(reader.get_reinstated()?)?,
         services: read_services(reader)?,
