--- a/crates/overload/src/retry/retry_budget.rs
+++ b/crates/overload/src/retry/retry_budget.rs
@@ -38,7 +38,7 @@
     /// Cost in retries of a retry by which the request may run a second time. Its calls may then be repeated as well,
     /// and count as load of the downstream services.
     pub rerun_cost: f64,
-    /// Whether what was not spent in the last [`RESEND_WINDOW`] may still be spent. The bound then holds in each window of
+    /// Whether what was not spent in the last 10 s may still be spent. The bound then holds in each window of
     /// that length; without this, it holds from each second to the next, but for the reserve.
     pub is_windowed: bool,
 }
