--- a/crates/node/src/data/body.rs
+++ b/crates/node/src/data/body.rs
@@ -1,7 +1,7 @@
 //! Request and response bodies that pass through a node.
 
 use {
-    super::{entry::EntryExchange, gate::GateExchange},
+    super::{entry_exchange::EntryExchange, gate::GateExchange},
     bytes::Bytes,
     derive_more::{Display, Error},
     http_body::{Body, Frame, SizeHint},
--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -5,12 +5,12 @@
         ExchangeContext, Gate, OutgoingBody, Peers, ResponseBody, Routes,
         allowance::Allowance,
         attempt_end::{exchange_end, reached_target, retry_reason},
-        body::BodyError,
         buffered_body::{buffer_if_small, buffer_small_response},
+        entry_exchange::EntryExchange,
         fingerprint::{arrival_identity, fingerprint},
         forward_headers::{CallerHeaders, clean_request, clean_response_for_caller},
         gate::GateRefusal,
-        hops::{CallGuard, Hop, Hops},
+        hops::{Hop, Hops},
         identity::{Identity, identify},
         load_report::read_load,
         peers::{read_level, retries_unused},
@@ -23,9 +23,7 @@
         claims::Claims,
         decisions::{Decision, DecisionLog, request_name},
     },
-    http::{
-        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header, request,
-    },
+    http::{HeaderMap, HeaderValue, Method, Request, Response, Version, header, request},
     hyper::body::Incoming,
     jujubeline_catalogue::{ANY_METHOD, Entry, Workspace},
     jujubeline_coordination::{TargetReport, TargetReports, allowance::Denial},
@@ -33,16 +31,13 @@
         Class, DataCentre, Dialect, NodeId, NotRunProof, Outcome, Refusal, RefusalReason, RootId,
         ServiceName, header_names as names, stable_hash,
     },
-    jujubeline_overload::{ExchangeEnd, FailedAttempt, RetryAllowance, suggested_retry_after},
+    jujubeline_overload::{FailedAttempt, RetryAllowance, suggested_retry_after},
     parking_lot::Mutex,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio_util::{
-        sync::CancellationToken,
-        task::{TaskTracker, task_tracker::TaskTrackerToken},
-    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
 /// Longest idempotency key that is accepted.
@@ -731,87 +726,3 @@
     }
     hop.class.min(entry.class)
 }
-
-/// An exchange with a caller, from the request to the last byte of the response.
-#[derive(Debug)]
-pub struct EntryExchange {
-    metrics: Arc<Metrics>,
-    class: Class,
-    started: Instant,
-    chosen_target: Option<ChosenTarget>,
-    /// Set when this exchange is a call made by the local target.
-    call: Option<CallGuard>,
-    status: StatusCode,
-    is_counted: bool,
-    _in_flight: TaskTrackerToken,
-}
-
-impl EntryExchange {
-    fn start(node: &EntryNode, class: Class, started: Instant) -> Self {
-        node.metrics.add_in_flight(class, 1);
-        Self {
-            metrics: Arc::clone(&node.metrics),
-            class,
-            started,
-            chosen_target: None,
-            call: None,
-            status: StatusCode::OK,
-            is_counted: false,
-            _in_flight: node.exchanges.token(),
-        }
-    }
-
-    fn set_chosen_target(&mut self, chosen_target: ChosenTarget, status: StatusCode) {
-        self.chosen_target = Some(chosen_target);
-        self.status = status;
-    }
-
-    /// The response was read to its end.
-    pub(super) fn complete(mut self) {
-        self.is_counted = true;
-        self.metrics
-            .record_response(self.class, self.started.elapsed());
-        // Other error statuses usually concern the request or a service further down the call chain, not this target.
-        let failed = matches!(
-            self.status,
-            StatusCode::INTERNAL_SERVER_ERROR | StatusCode::BAD_GATEWAY
-        );
-        self.finish(if failed {
-            ExchangeEnd::Failed
-        } else {
-            ExchangeEnd::Completed
-        });
-    }
-
-    /// The response body ended before its last byte.
-    pub(super) fn fail(mut self, error: &BodyError) {
-        self.is_counted = true;
-        let (reason, end) = match error {
-            BodyError::CutShort(_) => (RefusalReason::AnswerCutShort, ExchangeEnd::Failed),
-            BodyError::Deadline => (RefusalReason::Deadline, ExchangeEnd::TimedOut),
-            BodyError::Cancelled => (RefusalReason::Cancelled, ExchangeEnd::Cancelled),
-        };
-        self.metrics.count_refusal(reason);
-        self.finish(end);
-    }
-
-    /// The request was refused. [`EntryNode::serve`] counts the refusal, so it is not counted on drop.
-    fn refused(mut self) {
-        self.is_counted = true;
-    }
-
-    fn finish(&mut self, end: ExchangeEnd) {
-        if let Some(chosen_target) = self.chosen_target.take() {
-            chosen_target.finish(end);
-        }
-    }
-}
-
-impl Drop for EntryExchange {
-    fn drop(&mut self) {
-        self.metrics.add_in_flight(self.class, -1);
-        if !self.is_counted {
-            self.metrics.count_refusal(RefusalReason::Cancelled);
-        }
-    }
-}
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -14,6 +14,7 @@
 mod data_path;
 mod detected_stream;
 mod entry;
+mod entry_exchange;
 mod final_status;
 mod fingerprint;
 mod forward_headers;
