Claim no proof for keyed work that is refused for its workspace

A request of a keyed at-most-once entry that was refused for its workspace's key or allowance was answered with outcome not_run, although an earlier exchange with the same idempotency key may have run.

Change: such refusals have outcome unknown, as other refusals before the claim owner is asked. Entries without idempotency keys, which are all of the platform's, are refused as before.

--- a/crates/node/src/data/entry.rs
+++ b/crates/node/src/data/entry.rs
@@ -191,7 +191,7 @@
             &head.headers,
             &self.dialect.workspace_key,
         )
-        .map_err(rejected)?;
+        .map_err(|reason| refused_before_claim(&entry, reason))?;
         // Calls carry no key, so a request with one comes from a client, whatever its id looks like.
         let has_key = matches!(identity, Identity::Workspace(_));
         let parent = self.parent(&head).filter(|_| !has_key);
@@ -203,11 +203,12 @@
         if identity == Identity::Missing && hop.is_none() {
             // After a restart of the node, a call in flight may be the call of an exchange that is no longer known.
             let is_call = parent.is_some() || caller.hop.is_some();
-            return Err(rejected(if is_call {
+            let reason = if is_call {
                 RefusalReason::ParentUnknown
             } else {
                 RefusalReason::WorkspaceKeyMissing
-            }));
+            };
+            return Err(refused_before_claim(&entry, reason));
         }
         // A draining node still accepts calls on behalf of an exchange in flight, so that the exchange can complete,
         // but not so late that they would be cut off.
@@ -312,7 +313,7 @@
         allowances
             .take(&workspace.name)
             .await
-            .map_err(|denial| allowance_refusal(&accepted.context, denial, Instant::now()))?;
+            .map_err(|denial| allowance_refusal(accepted, denial, Instant::now()))?;
         let result = self.run(accepted, body, exchange).await;
         if let Err(refusal) = &result
             && refusal.outcome() == Outcome::NotRun
@@ -659,13 +660,14 @@
 
 /// Refusal of a request for which there is no token. The delay is at least the one that other refused requests get, so
 /// that the callers of a workspace above its allowance do not return all at once for the next token.
-fn allowance_refusal(context: &ExchangeContext, denial: Denial, now: Instant) -> Refusal {
+fn allowance_refusal(accepted: &Accepted, denial: Denial, now: Instant) -> Refusal {
+    let context = &accepted.context;
     let usual = suggested_retry_after(context.remaining(now), context.root);
     let (reason, after) = match denial {
         Denial::UsedUp(after) => (RefusalReason::WorkspaceAllowance, after.max(usual)),
         Denial::Unknown => (RefusalReason::AllowanceUnknown, usual),
     };
-    rejected(reason).with_retry_after(after)
+    refused_before_claim(&accepted.entry, reason).with_retry_after(after)
 }
 
 /// A refusal of a request whose catalogue entry is not known. With an idempotency key the outcome is unknown: the key may
