review: show that a planned stop resets connections with pipelined requests

A script starts twelve nodes, servers and a store, and stops one node while ten clients have sent further safe requests behind one that is being served. The answer to the first request breaks off.

--- /dev/null
+++ b/review/lib-2/src/cases/mod.rs
@@ -0,0 +1,15 @@
+//! The cases by the names of their folders.
+
+mod stop_pipelined;
+
+use {crate::record::Record, std::io};
+
+/// Runs a case with or without its disruption, and returns what broke the rule.
+pub type Case = fn(bool, &Record) -> io::Result<Vec<String>>;
+
+pub fn find(name: &str) -> Option<Case> {
+    match name {
+        "6" => Some(stop_pipelined::run),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/review/lib-2/src/main.rs
@@ -0,0 +1,58 @@
+//! Cases of the second review that cannot be put as a day of the bench. The only argument is the folder of the case.
+//!
+//! Exit codes: 1 when the rule was broken, 0 when it held, 2 when the case could not run.
+
+mod cases;
+mod deployment;
+mod http;
+mod json;
+mod node;
+mod record;
+mod server;
+mod small_window;
+mod store;
+
+use {
+    record::Record,
+    std::{env, path::PathBuf, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    let Some(folder) = env::args().nth(1).map(PathBuf::from) else {
+        eprintln!("usage: review-cases-2 FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = match Record::create(&folder) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("the record cannot be written: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    record.line(&format!("trouble: {has_trouble}"));
+    let name = folder.file_name().unwrap_or_default().to_string_lossy();
+    let result = match cases::find(&name) {
+        Some(case) => case(has_trouble, &record),
+        None => Err(std::io::Error::other(format!("no case {name}"))),
+    };
+    match result {
+        Ok(broken) if broken.is_empty() => {
+            record.line("the rule held");
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(broken) => {
+            for line in &broken {
+                record.line(&format!("BROKEN: {line}"));
+                println!("broken: {line}");
+            }
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            record.line(&format!("the case could not run: {error}"));
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
