review: show that a configuration is late when watches of the store go silent

The watches of all nodes begin at the same moment after an event. If their connections go silent, all of them wait 5 s, which is longer than contactMs and configApplyMs allow.

--- a/review/lib-2/src/cases/mod.rs
+++ b/review/lib-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases by the names of their folders.
 
+mod silent_store;
 mod stop_pipelined;
 
 use {crate::record::Record, std::io};
@@ -10,6 +11,7 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "6" => Some(stop_pipelined::run),
+        "7" => Some(silent_store::run),
         _ => None,
     }
 }
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod node;
+mod proxy;
 mod record;
 mod server;
 mod small_window;
