review: show that a planned stop cuts off answers that are read slowly

An answer whose last part is in the write buffer of the HTTP server no longer counts as in flight, so that the connection is cut 3.2 s after SIGTERM.

--- a/review/lib-2/src/cases/mod.rs
+++ b/review/lib-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod silent_store;
 mod stop_pipelined;
+mod stop_slow_readers;
 
 use {crate::record::Record, std::io};
 
@@ -12,6 +13,7 @@
     match name {
         "6" => Some(stop_pipelined::run),
         "7" => Some(silent_store::run),
+        "8" => Some(stop_slow_readers::run),
         _ => None,
     }
 }
