--- a/review/lib-2/src/cases/stop_slow_readers.rs
+++ b/review/lib-2/src/cases/stop_slow_readers.rs
@@ -90,17 +90,19 @@
     thread::sleep(PAUSE);
     let answer = connection.read();
     let after = sent.elapsed().as_millis();
-    let (got, whole) = match answer {
-        Ok(Some(answer)) => (answer.body.len(), answer.body.len() == bytes),
-        Ok(None) => (0, false),
-        Err(_) => (connection.read_ahead(), false),
+    let is_in_time = sent.elapsed() < Duration::from_millis(u64::from(TIMEOUT_MS));
+    // A whole answer of any status does not break the rule.
+    let (got, has_ended) = match answer {
+        Ok(Some(answer)) => (answer.body.len(), false),
+        Ok(None) => (0, true),
+        Err(_) => (connection.read_ahead(), true),
     };
     let what = format!(
         "client of {} has {got} of {bytes} bytes after {after} ms",
         node.name
     );
     record.line(&what);
-    Ok((!whole).then_some(what))
+    Ok((has_ended && is_in_time && record.is_answered(&id)).then_some(what))
 }
 
 pub fn run(has_trouble: bool, record: &Record) -> io::Result<Vec<String>> {
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -15,9 +15,19 @@
 
 use {
     record::Record,
-    std::{env, path::PathBuf, process::ExitCode},
+    std::{
+        env,
+        panic::{AssertUnwindSafe, catch_unwind},
+        path::PathBuf,
+        process::ExitCode,
+        thread,
+        time::Duration,
+    },
 };
 
+/// Time after which a run ends as one that could not run.
+const TIME_LIMIT: Duration = Duration::from_secs(105);
+
 fn main() -> ExitCode {
     let Some(folder) = env::args().nth(1).map(PathBuf::from) else {
         eprintln!("usage: review-cases-2 FOLDER");
@@ -33,8 +43,15 @@
     };
     record.line(&format!("trouble: {has_trouble}"));
     let name = folder.file_name().unwrap_or_default().to_string_lossy();
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case takes too long");
+        // The nodes end with this process.
+        std::process::exit(2);
+    });
     let result = match cases::find(&name) {
-        Some(case) => case(has_trouble, &record),
+        Some(case) => catch_unwind(AssertUnwindSafe(|| case(has_trouble, &record)))
+            .unwrap_or_else(|_| Err(std::io::Error::other("the case panicked"))),
         None => Err(std::io::Error::other(format!("no case {name}"))),
     };
     match result {
--- a/review/lib-2/src/node.rs
+++ b/review/lib-2/src/node.rs
@@ -3,8 +3,10 @@
 use {
     crate::{http::call, record::Record},
     std::{
+        ffi::{c_int, c_ulong},
         io,
         net::{SocketAddr, TcpListener, UdpSocket},
+        os::unix::process::CommandExt,
         process::{Child, Command, Stdio},
         sync::atomic::{AtomicU16, Ordering},
         thread,
@@ -16,8 +18,18 @@
 const PROGRAM: &str = "target/release/jujubelined";
 
 /// Ports for the nodes, in turn.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
-const LAST_PORT: u16 = 30_000;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 32_000;
+/// Ports in a block. Each run begins at a block of its own, so that scripts can run side by side.
+const BLOCK_PORTS: u16 = 120;
+
+const PR_SET_PDEATHSIG: c_int = 1;
+const SIGKILL: c_ulong = 9;
+
+unsafe extern "C" {
+    fn prctl(option: c_int, ...) -> c_int;
+}
 
 /// Addresses of a node.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +44,10 @@
 impl Addresses {
     /// Free ports of the loopback interface, below those that the system gives to outgoing connections.
     pub fn free() -> io::Result<Self> {
+        let block = (std::process::id() % 90) as u16;
+        let first = FIRST_PORT + block * BLOCK_PORTS;
+        // Only the first call sets the port.
+        let _ = NEXT_PORT.compare_exchange(0, first, Ordering::SeqCst, Ordering::SeqCst);
         let mut listeners = Vec::new();
         while listeners.len() < 5 {
             let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
@@ -102,6 +118,16 @@
         for (name, value) in variables {
             command.env(format!("JUJUBELINE_{name}"), value);
         }
+        // The node ends with this process, however it ends.
+        // SAFETY: prctl is safe to call between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                if prctl(PR_SET_PDEATHSIG, SIGKILL) == 0 {
+                    return Ok(());
+                }
+                Err(io::Error::last_os_error())
+            });
+        }
         let child = command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/review/lib-2/src/record.rs
+++ b/review/lib-2/src/record.rs
@@ -1,6 +1,7 @@
 //! The record of a run: what was sent, answered and run.
 
 use std::{
+    collections::HashSet,
     fs::File,
     io::Write,
     path::Path,
@@ -12,6 +13,8 @@
 #[derive(Debug, Clone)]
 pub struct Record {
     shared: Arc<(Instant, Mutex<File>)>,
+    /// Attempts whose whole answer a server has written.
+    answered: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Record {
@@ -19,9 +22,19 @@
         let file = File::create(folder.join("record.txt"))?;
         Ok(Self {
             shared: Arc::new((Instant::now(), Mutex::new(file))),
+            answered: Arc::default(),
         })
     }
 
+    /// Notes that a server has written its whole answer to an attempt.
+    pub fn note_answered(&self, attempt: &str) {
+        self.answered.lock().unwrap().insert(attempt.to_owned());
+    }
+
+    pub fn is_answered(&self, attempt: &str) -> bool {
+        self.answered.lock().unwrap().contains(attempt)
+    }
+
     pub fn line(&self, text: &str) {
         let (started, file) = &*self.shared;
         let seconds = started.elapsed().as_secs_f64();
--- a/review/lib-2/src/server.rs
+++ b/review/lib-2/src/server.rs
@@ -112,8 +112,10 @@
             .into_bytes();
             answer.extend_from_slice(&body);
             if connection.write(&answer).is_err() {
+                record.line(&format!("server {} could not write {attempt}", self.id));
                 return;
             }
+            record.note_answered(&attempt);
         }
     }
 
