Close connections in stages, so that no answer is lost to unread bytes

Cause: after an answer with `connection: close`, or an error, the HTTP server ends the write side and returns, and the listener dropped the stream. With bytes of the caller unread, the system resets the connection and drops what it has not delivered.

Change: the listener ends its side, reads on and discards until the caller closes (RFC 9112, 9.6), for 10 s, 8 MB and 1,024 connections at most, and no longer than the stop. The HTTP server has ended by then, so nothing discarded is parsed. jujubeline_lingering_closes_total{end} counts what ended each. It is done only if something was written in the last 2 s and the caller's end was not read, so the usual close by a caller costs nothing more.

--- a/crates/daemon/tests/endless_bytes.rs
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -6,7 +6,6 @@
 use {
     jujubeline_core::cases,
     std::{
-        fs,
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
         sync::{
@@ -17,8 +16,8 @@
         time::{Duration, Instant},
     },
     support::{
-        RunningDaemon, exchange,
-        target_fleet::{Fleet, POLL_INTERVAL, WAIT_TIMEOUT},
+        exchange,
+        target_fleet::{Fleet, MAX_NODE_KB, POLL_INTERVAL, WAIT_TIMEOUT},
     },
 };
 
@@ -33,8 +32,6 @@
 /// Requests of other callers that must be answered while endless bytes come. The callers of these repeat their requests
 /// until then, because a node may give up all of the first ones within a tenth of a second.
 const MIN_OTHERS: usize = 3;
-/// Memory of the smallest machine of the deployments, which a node shares with the rest of the system.
-const MAX_NODE_KB: u64 = 160 * 1_024;
 
 /// Runs the cases one after the other, because each of them uses all processors.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -68,14 +65,6 @@
     sent.elapsed()
 }
 
-/// Highest resident memory of a process so far.
-fn peak_memory_kb(daemon: &RunningDaemon) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let value = line.and_then(|line| line.split_whitespace().next());
-    value.expect("the peak").parse().unwrap()
-}
-
 fn wait_until_served(edge: SocketAddr) {
     let until = Instant::now() + WAIT_TIMEOUT;
     while !exchange(edge, &head("/well/first", 3_000)).starts_with("HTTP/1.1 200") {
@@ -131,7 +120,7 @@
         assert!(served >= MIN_OTHERS, "{served} other requests");
         for daemon in [&mut fleet.edge, &mut fleet.gate, &mut billing] {
             assert!(daemon.child.try_wait().unwrap().is_none(), "a node has ended");
-            let peak_kb = peak_memory_kb(daemon);
+            let peak_kb = daemon.peak_memory_kb();
             assert!(peak_kb <= MAX_NODE_KB, "{peak_kb} KB");
         }
     }
--- a/crates/daemon/tests/slow_readers.rs
+++ b/crates/daemon/tests/slow_readers.rs
@@ -4,9 +4,6 @@
 
 use {
     jujubeline_core::cases,
-    rustix::net::{
-        AddressFamily, SocketType, connect, socket, sockopt::set_socket_recv_buffer_size,
-    },
     std::{
         io::{ErrorKind, Write},
         net::{SocketAddr, TcpStream},
@@ -14,7 +11,7 @@
         time::{Duration, Instant},
     },
     support::{
-        exchange,
+        connect_with_buffer, exchange,
         target_fleet::{ANSWER_BYTES, Fleet, WAIT_TIMEOUT},
     },
 };
@@ -44,11 +41,7 @@
 
 /// Requests a large answer, and reads nothing of it.
 fn leave_answer_unread(callers: SocketAddr, number: usize) -> TcpStream {
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    // By default, the kernel takes megabytes of each answer.
-    set_socket_recv_buffer_size(&socket, KERNEL_BUFFER_BYTES).unwrap();
-    connect(&socket, &callers).unwrap();
-    let mut stream = TcpStream::from(socket);
+    let mut stream = connect_with_buffer(callers, KERNEL_BUFFER_BYTES);
     let request = head(
         "GET",
         &format!("/safe/large/{number}"),
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,17 +4,25 @@
 
 pub mod target_fleet;
 
-use std::{
-    io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
-    process::{Child, Command, Stdio},
-    thread::JoinHandle,
-    time::Duration,
+use {
+    socket2::{Domain, Socket, Type},
+    std::{
+        fs,
+        io::{BufRead, BufReader, Read, Write},
+        net::{SocketAddr, TcpStream},
+        process::{Child, Command, Stdio},
+        thread::JoinHandle,
+        time::Duration,
+    },
 };
 
 /// Read timeout for a response that must arrive.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest segment on an Ethernet. For the segments of 64 KB of the loopback interface, the system of the sender keeps
+/// megabytes.
+const ETHERNET_SEGMENT_BYTES: u32 = 1_460;
+
 /// Valid settings, by environment variable without its prefix. The operating system chooses the ports.
 pub const VALID_SETTINGS: [(&str, &str); 8] = [
     ("NODE", "one"),
@@ -47,6 +55,14 @@
 }
 
 impl RunningDaemon {
+    /// Highest resident memory of the process so far.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.unwrap().trim().trim_end_matches(" kB");
+        kb.parse().unwrap()
+    }
+
     /// Waits until the process has ended with status 0, and returns what it has logged since its start.
     pub fn log_until_end(&mut self) -> Vec<String> {
         assert_eq!(self.child.wait().unwrap().code(), Some(0));
@@ -87,6 +103,15 @@
     }
 }
 
+/// Connects with a receive buffer of this size. By default, the system takes megabytes of an answer.
+pub fn connect_with_buffer(address: SocketAddr, buffer_bytes: usize) -> TcpStream {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(buffer_bytes).unwrap();
+    socket.set_tcp_mss(ETHERNET_SEGMENT_BYTES).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
+
 /// Sends a request and reads until the connection ends.
 pub fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
--- a/crates/daemon/tests/support/target_fleet.rs
+++ b/crates/daemon/tests/support/target_fleet.rs
@@ -5,6 +5,7 @@
     jujubeline_standin::platform::{Faults, PlatformStandin},
     serde_json::json,
     std::{
+        collections::BTreeSet,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{Arc, Mutex},
@@ -24,6 +25,12 @@
 pub const ANSWER_BYTES: usize = 6_000;
 /// Size of the answers to requests below `/safe/large/`, which no buffers on the way can hold.
 const LARGE_ANSWER_BYTES: usize = 64 << 20;
+/// Prefix of requests that are answered after the target's work, with as many bytes as the rest of the path says.
+pub const SIZED_PATH: &str = "/safe/sized/";
+/// Time between the stop signal of a node and its kill.
+pub const KILL_AFTER: Duration = Duration::from_secs(6);
+/// Memory of the smallest machine of the deployments, which a node shares with the rest of the system.
+pub const MAX_NODE_KB: u64 = 160 * 1_024;
 /// Time for which the target works on a request if the test states no other.
 const WORK: Duration = Duration::from_millis(200);
 
@@ -33,10 +40,18 @@
     headers: Arc<Mutex<String>>,
     health: Arc<Mutex<String>>,
     endless: Arc<Mutex<EndlessBytes>>,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
     last_head: Arc<Mutex<String>>,
 }
 
+/// A request that reached a target.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    /// Id of the attempt; empty if the request has none.
+    pub id: String,
+}
+
 /// Bytes that a target sends in answer to requests below `/safe/endless/`: some first, and others without end.
 #[derive(Debug, Clone, Default)]
 pub struct EndlessBytes {
@@ -105,7 +120,14 @@
     }
 
     pub fn arrivals(&self) -> Vec<Instant> {
-        self.arrivals.lock().unwrap().clone()
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// Ids of the attempts that arrived. The gate sends a safe request twice if its target is silent for long.
+    pub fn arrived_ids(&self) -> BTreeSet<String> {
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().map(|arrival| arrival.id.clone()).collect()
     }
 }
 
@@ -119,7 +141,7 @@
     headers: &Mutex<String>,
     health: &Mutex<String>,
     endless: &Mutex<EndlessBytes>,
-    arrivals: &Mutex<Vec<Instant>>,
+    arrivals: &Mutex<Vec<Arrival>>,
     last_head: &Mutex<String>,
 ) {
     let mut buffer = Vec::new();
@@ -139,7 +161,11 @@
             let _ = stream.write_all(answer.as_bytes());
             return;
         }
-        arrivals.lock().unwrap().push(Instant::now());
+        let id = attempt_id(&head).to_owned();
+        arrivals.lock().unwrap().push(Arrival {
+            at: Instant::now(),
+            id: id.clone(),
+        });
         last_head.lock().unwrap().clone_from(&head);
         if head.starts_with("GET /safe/endless/") {
             let bytes = endless.lock().unwrap().clone();
@@ -159,11 +185,12 @@
             answer_with_body(&mut stream, &head, &mut buffer, LARGE_ANSWER_BYTES);
             return;
         }
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
-            .unwrap_or_default()
-            .to_owned();
+        if let Some((_, rest)) = head.split_once(SIZED_PATH) {
+            let (bytes, _) = rest.split_once(' ').unwrap();
+            thread::sleep(work);
+            answer_with_body(&mut stream, &head, &mut buffer, bytes.parse().unwrap());
+            return;
+        }
         thread::sleep(work);
         let stated = headers.lock().unwrap().clone();
         let response = format!(
@@ -175,10 +202,17 @@
     }
 }
 
+fn attempt_id(head: &str) -> &str {
+    let mut lines = head.lines();
+    lines
+        .find_map(|line| line.strip_prefix("x-jujubeline-attempt-id: "))
+        .unwrap_or_default()
+}
+
 /// Reads the body of a request, and answers it with a body of this size.
 fn answer_with_body(stream: &mut TcpStream, head: &str, read: &mut Vec<u8>, answer_bytes: usize) {
     let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-    let id = field("x-jujubeline-attempt-id: ").unwrap_or_default();
+    let id = attempt_id(head);
     let length = field("content-length: ").map_or(0, |length| length.parse().unwrap());
     let mut chunk = [0; 4_096];
     while read.len() < length {
@@ -455,6 +489,8 @@
         "0.2",
         "--retry-slack",
         "48",
+        "--kill-after-s",
+        &KILL_AFTER.as_secs().to_string(),
     ])
 }
 
--- a/crates/node/src/data/detected_stream.rs
+++ b/crates/node/src/data/accepted_stream.rs
@@ -1,4 +1,4 @@
-//! A new connection whose protocol is detected by its first bytes.
+//! An accepted connection, whose protocol may be detected by its first bytes.
 
 use {
     super::caller_watch::CallerWatch,
@@ -9,6 +9,7 @@
         io::{self, IoSlice},
         pin::Pin,
         task::{Context, Poll},
+        time::Instant,
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
@@ -31,17 +32,25 @@
     Http2,
 }
 
-/// A connection that first returns the bytes that were read for the detection.
+/// An accepted connection that first returns the bytes that were read for the detection of its protocol.
 ///
 /// The detection of `hyper_util` passes on the first 24 bytes alone, after which the server doubles the read buffer of
 /// the connection to 16 KB.
 #[derive(Debug)]
-pub struct DetectedStream {
+pub struct AcceptedStream {
     caller: CallerWatch,
     first: Option<BytesMut>,
 }
 
-impl DetectedStream {
+impl AcceptedStream {
+    /// A connection whose protocol is known.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            caller: CallerWatch::new(stream),
+            first: None,
+        }
+    }
+
     /// Reads until the protocol is known.
     ///
     /// # Errors
@@ -78,7 +87,7 @@
     }
 }
 
-impl AsyncRead for DetectedStream {
+impl AsyncRead for AcceptedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -99,16 +108,20 @@
             || self.stream().try_read_buf(buffer),
         );
         self.caller.set_awaited(polled.is_pending());
+        if matches!(polled, Poll::Ready(Ok(0))) && buffer.remaining() > 0 {
+            self.caller.set_end_read();
+        }
         polled.map_ok(|_| ())
     }
 }
 
-impl AsyncWrite for DetectedStream {
+impl AsyncWrite for AcceptedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.caller.set_written(Instant::now());
         poll_io(
             cx,
             |cx| self.stream().poll_write_ready(cx),
@@ -121,6 +134,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.caller.set_written(Instant::now());
         poll_io(
             cx,
             |cx| self.stream().poll_write_ready(cx),
--- a/crates/node/src/data/caller_watch.rs
+++ b/crates/node/src/data/caller_watch.rs
@@ -2,6 +2,7 @@
 
 use {
     futures::FutureExt,
+    parking_lot::Mutex,
     std::{
         future::{Future, poll_fn},
         pin::Pin,
@@ -23,7 +24,11 @@
 /// a target half a second later; the rest is for the abort to reach the gate.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// The connection of a caller, shared by the HTTP server that reads from it and the checks of its end.
+/// Time after the last write in which an answer may not have reached its caller. A connection that was idle for longer is
+/// closed at once, so that a request which crosses the close stays unread and its caller may send it again.
+const DELIVERY_TIME: Duration = Duration::from_secs(2);
+
+/// The connection of a caller, shared by the HTTP server that reads from it, the checks of its end and its close.
 ///
 /// The server sees the end of the connection only when it reads. It does not read while a request is served if it holds
 /// further bytes of the caller, such as the next request, or if the request's body is not forwarded at present.
@@ -37,6 +42,9 @@
     stream: TcpStream,
     /// Whether the last read found no bytes, so that the reader is woken by the next ones and by the end.
     is_awaited: AtomicBool,
+    /// Whether the end of the connection was read, so that nothing of the caller is unread.
+    is_end_read: AtomicBool,
+    last_write: Mutex<Option<std::time::Instant>>,
 }
 
 impl CallerWatch {
@@ -45,6 +53,8 @@
             shared: Arc::new(Shared {
                 stream,
                 is_awaited: AtomicBool::new(false),
+                is_end_read: AtomicBool::new(false),
+                last_write: Mutex::default(),
             }),
         }
     }
@@ -57,6 +67,22 @@
         self.shared.is_awaited.store(is_awaited, Ordering::Relaxed);
     }
 
+    pub(super) fn set_end_read(&self) {
+        self.shared.is_end_read.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn set_written(&self, now: std::time::Instant) {
+        *self.shared.last_write.lock() = Some(now);
+    }
+
+    /// Whether a close now could reset the connection before the caller has got an answer.
+    pub(super) fn may_lose_answer(&self, now: std::time::Instant) -> bool {
+        let is_end_read = self.shared.is_end_read.load(Ordering::Relaxed);
+        let last_write = *self.shared.last_write.lock();
+        !is_end_read
+            && last_write.is_some_and(|at| now.saturating_duration_since(at) < DELIVERY_TIME)
+    }
+
     /// Whether the caller has closed or reset the connection, also if bytes before the end are unread.
     pub fn has_left(&self) -> bool {
         let ready = self.shared.stream.ready(Interest::READABLE).now_or_never();
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        CrashWatch, EntryNode, Gate, Hops, Listener, Peers, Routes, StopSignals, TargetAdmission,
-        TargetPool, serve_entry_node,
+        CrashWatch, EntryNode, Gate, Hops, LingeringCloses, Listener, ListenerContext, Peers,
+        Routes, StopSignals, TargetAdmission, TargetPool, serve_entry_node,
     },
     crate::{
         Allowances, LocalTarget, Metrics, NodeSettings, Views,
@@ -45,6 +45,8 @@
     pub gate: Arc<Gate>,
     /// Callers that left while bytes that they had sent were unread.
     pub callers_left: Arc<AtomicU64>,
+    /// Connections that are being closed.
+    pub closes: Arc<LingeringCloses>,
     signals: StopSignals,
     exchanges: TaskTracker,
     tasks: TaskTracker,
@@ -164,6 +166,7 @@
             entry,
             gate,
             callers_left,
+            closes: Arc::default(),
             signals,
             exchanges,
             tasks,
@@ -193,14 +196,12 @@
         let entry = Arc::clone(&self.entry);
         self.tasks.spawn(callers.run(
             move |_, request| Arc::clone(&entry).serve(request),
-            self.signals.clone(),
-            self.tasks.clone(),
+            self.listener_context(),
         ));
         let gate = Arc::clone(&self.gate);
         self.tasks.spawn(data.run(
             move |_, request| serve_entry_node(Arc::clone(&gate), request),
-            self.signals.clone(),
-            self.tasks.clone(),
+            self.listener_context(),
         ));
     }
 
@@ -224,10 +225,14 @@
         self.data_address
     }
 
-    /// Stop signals, for listeners of the node outside the data path.
+    /// What further listeners of the node share with those of the data path.
     #[must_use]
-    pub fn signals(&self) -> StopSignals {
-        self.signals.clone()
+    pub fn listener_context(&self) -> ListenerContext {
+        ListenerContext {
+            signals: self.signals.clone(),
+            tasks: self.tasks.clone(),
+            closes: Arc::clone(&self.closes),
+        }
     }
 
     /// Tracker of the tasks that [`Self::close`] waits for.
--- a/crates/node/src/data/listener.rs
+++ b/crates/node/src/data/listener.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ResponseBody,
+        LingeringCloses, ResponseBody,
+        accepted_stream::{AcceptedStream, Protocol},
         caller_watch::CallerWatch,
-        detected_stream::{DetectedStream, Protocol},
         peers::{CONNECTION_WINDOW_BYTES, MAX_HEADER_LIST_BYTES, STREAM_WINDOW_BYTES},
         target_pool::MAX_BUFFER_BYTES,
     },
@@ -28,7 +28,7 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -93,6 +93,17 @@
     pub cut: CancellationToken,
 }
 
+/// What the listeners of a node share.
+#[derive(Debug, Clone, Default)]
+pub struct ListenerContext {
+    /// Steps of a stop.
+    pub signals: StopSignals,
+    /// Tracks the tasks of all connections.
+    pub tasks: TaskTracker,
+    /// Connections that are being closed.
+    pub closes: Arc<LingeringCloses>,
+}
+
 /// A bound socket that accepts connections of one kind.
 #[derive(Debug)]
 pub struct Listener {
@@ -146,7 +157,7 @@
     }
 
     /// Accepts connections until `close` is cancelled. A draining node still accepts, so that callers get a refusal.
-    pub async fn run<S, F>(self, serve: S, signals: StopSignals, tasks: TaskTracker)
+    pub async fn run<S, F>(self, serve: S, context: ListenerContext)
     where
         S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
@@ -155,7 +166,7 @@
         loop {
             let accepted = tokio::select! {
                 biased;
-                () = signals.close.cancelled() => return,
+                () = context.signals.close.cancelled() => return,
                 accepted = self.accept(&connections) => accepted,
             };
             let Some((stream, peer, permit)) = accepted else {
@@ -166,13 +177,10 @@
                 self.kind,
                 peer,
                 serve.clone(),
-                ConnectionContext {
-                    signals: signals.clone(),
-                    tasks: tasks.clone(),
-                    callers_left: self.callers_left(),
-                },
+                self.callers_left(),
+                context.clone(),
             );
-            tasks.spawn(async move {
+            context.tasks.spawn(async move {
                 connection.await;
                 drop(permit);
             });
@@ -192,48 +200,36 @@
     }
 }
 
-/// What a connection shares with the others of its listener.
-struct ConnectionContext {
-    signals: StopSignals,
-    tasks: TaskTracker,
-    callers_left: Arc<AtomicU64>,
-}
-
 /// Serves one connection until it ends or the stop signals close it.
 async fn serve_connection<S, F>(
     stream: TcpStream,
     kind: ListenerKind,
     peer: SocketAddr,
     serve: S,
-    context: ConnectionContext,
+    callers_left: Arc<AtomicU64>,
+    context: ListenerContext,
 ) where
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let ConnectionContext {
+    let ListenerContext {
         signals,
         tasks,
-        callers_left,
+        closes,
     } = context;
     // Without this option, small writes wait for acknowledgements. The connection also works if it cannot be set.
     let _ = stream.set_nodelay(true);
     let serve = move |request| -> Served { serve(peer, request).map(Ok).boxed() };
-    if kind == ListenerKind::Http2 {
-        let connection =
-            http2_builder(tasks).serve_connection(TokioIo::new(stream), service_fn(serve));
-        serve_http2(connection, &signals).await;
-        return;
-    }
-    let detected = tokio::select! {
-        detected = timeout(HEAD_TIMEOUT, DetectedStream::detect(stream)) => detected,
-        () = signals.close.cancelled() => return,
+    let accepted = match kind {
+        ListenerKind::Http2 => Some((AcceptedStream::new(stream), Protocol::Http2)),
+        ListenerKind::Any => detect_protocol(stream, &signals).await,
     };
-    let Ok(Ok((stream, protocol))) = detected else {
+    let Some((stream, protocol)) = accepted else {
         return;
     };
+    let caller = stream.caller();
     match protocol {
         Protocol::Http1 => {
-            let caller = stream.caller();
             let watched = caller.clone();
             let service = service_fn(move |request| {
                 if watched.has_left() {
@@ -254,6 +250,20 @@
             Box::pin(serve_http2(connection, &signals)).await;
         }
     }
+    if caller.may_lose_answer(Instant::now()) {
+        closes.close(caller.stream(), &signals.cut).await;
+    }
+}
+
+/// Waits for the first bytes of a connection. Returns nothing if they do not come.
+async fn detect_protocol(
+    stream: TcpStream,
+    signals: &StopSignals,
+) -> Option<(AcceptedStream, Protocol)> {
+    tokio::select! {
+        detected = timeout(HEAD_TIMEOUT, AcceptedStream::detect(stream)) => detected.ok()?.ok(),
+        () = signals.close.cancelled() => None,
+    }
 }
 
 /// Serves requests until the connection ends. Returns whether the caller left while bytes that it had sent were unread.
--- a/crates/node/src/data/mod.rs
+++ b/crates/node/src/data/mod.rs
@@ -1,5 +1,6 @@
 //! The data path: carries requests from callers to targets and the responses back.
 
+mod accepted_stream;
 mod allowance;
 mod at_most_once_entry;
 mod at_most_once_gate;
@@ -12,7 +13,6 @@
 mod context;
 mod crash_watch;
 mod data_path;
-mod detected_stream;
 mod entry;
 mod entry_exchange;
 mod final_status;
@@ -22,6 +22,7 @@
 mod gate_server;
 mod hops;
 mod identity;
+mod lingering_close;
 mod listener;
 mod load_report;
 mod peers;
@@ -43,7 +44,8 @@
     gate::{Gate, GateRefusal},
     gate_server::serve_entry_node,
     hops::Hops,
-    listener::{Listener, ListenerKind, StopSignals},
+    lingering_close::{LingerEnd, LingeringCloses},
+    listener::{Listener, ListenerContext, ListenerKind, StopSignals},
     peers::Peers,
     routes::Routes,
     target_admission::TargetAdmission,
--- a/crates/node/src/metrics/exporter.rs
+++ b/crates/node/src/metrics/exporter.rs
@@ -7,7 +7,7 @@
         control::{
             CallCounts, Control, DatagramCounts, MembershipHandle, PullCounts, UnreadableMembers,
         },
-        data::Routes,
+        data::{LingerEnd, LingeringCloses, Routes},
         error::{NodeError, NodeResult, report},
         target_tracker::TargetTracker,
     },
@@ -176,6 +176,23 @@
         observe_notices(&self.provider.meter("jujubeline"), tracker);
     }
 
+    /// Adds the connections that lingered after their last answer, by the reason for which that ended.
+    pub fn observe_closes(&self, closes: &Arc<LingeringCloses>) {
+        let closes = Arc::clone(closes);
+        self.provider
+            .meter("jujubeline")
+            .u64_observable_counter("jujubeline_lingering_closes")
+            .with_description(
+                "Connections that were read on after their last answer, by the reason for the end.",
+            )
+            .with_callback(move |observer| {
+                for end in LingerEnd::ALL {
+                    observer.observe(closes.count(end), &[KeyValue::new("end", end.label())]);
+                }
+            })
+            .build();
+    }
+
     /// The metrics in the text format of Prometheus.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -150,6 +150,7 @@
         )?;
         exporter.observe(&views, observed_values(&data));
         exporter.observe_target(&data.gate.tracker);
+        exporter.observe_closes(&data.closes);
         exporter.observe_leaving(&data.entry.routes);
         let operators_address = sockets.operators.local_address()?;
         let operators = Arc::new(OperatorsServer::new(
@@ -167,8 +168,7 @@
             let operators = Arc::clone(&operators);
             data.tasks().spawn(listener.run(
                 move |_, request| Arc::clone(&operators).serve(request),
-                data.signals(),
-                data.tasks().clone(),
+                data.listener_context(),
             ));
         }
         Ok(Self {
