Give connections the rest of the grace time to deliver buffered answers

Cause: an exchange ends when the last frame of its answer is handed to the HTTP server, which keeps what the system does not take. The drain waits for exchanges; connections had 0.7 s from then on.

Evidence, on: of an answer of 89,851 bytes to a caller that sends nothing behind its request, 73,737 bytes arrive in 5 of 5 runs. Answers that the system holds whole (73 KB) arrive, and so do those that are still counted in jujubeline_in_flight.

Change: connections are cut when the grace time is over, 0.7 s after the drain at the earliest. The server's connection ends when its buffer is written and the caller has closed, so a stop without slow callers takes as long as before.

--- a/crates/daemon/tests/closes.rs
+++ b/crates/daemon/tests/closes.rs
@@ -19,6 +19,13 @@
 
 /// Receive buffer of a caller, less than an answer.
 const RECEIVE_BUFFER_BYTES: usize = 4_096;
+/// Largest body of an answer of which the end may lie in the buffer of the HTTP server.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Difference between the bodies of two such answers, and how many are tried.
+const BUFFERED_STEP_BYTES: usize = 1_500;
+const BUFFERED_ANSWERS: usize = 16;
+/// Time within which an answer is in the buffers.
+const FILL_TIME: Duration = Duration::from_millis(60);
 /// Body of an answer.
 const ANSWER_BYTES: usize = 9_000;
 /// Body of a request that is sent behind another, more than the HTTP server reads ahead.
@@ -32,6 +39,8 @@
 const WRITE_GAP: Duration = Duration::from_millis(50);
 /// Time after which a late caller reads the rest of its answer.
 const READ_DELAY: Duration = Duration::from_millis(1_500);
+/// Time from the stop signal after which a caller reads what the node still buffers; shorter than the grace time.
+const BUFFERED_READ_DELAY: Duration = Duration::from_millis(3_500);
 /// Timeout for bytes that must arrive; only a failing test reaches it.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bytes that a caller reads at once, more than the head of an answer.
@@ -184,6 +193,73 @@
     requests_behind_and_a_late_reader: (sends_two_more, READ_DELAY),
 }
 
+/// Requests an answer and reads nothing. Returns the connection if the node counts the answer as sent all the same.
+fn ask_for_buffered_answer(fleet: &Fleet, bytes: usize) -> Option<TcpStream> {
+    let stream = connect_with_buffer(fleet.edge.callers, RECEIVE_BUFFER_BYTES);
+    send(&stream, &sized_head("GET", bytes, "first", 0));
+    thread::sleep(FILL_TIME);
+    if is_idle(fleet) {
+        return Some(stream);
+    }
+    drop(stream);
+    // The node notices that the caller has left.
+    let until = Instant::now() + READ_TIMEOUT;
+    while !is_idle(fleet) {
+        assert!(Instant::now() < until, "the request is still in flight");
+        thread::sleep(WRITE_GAP / 10);
+    }
+    None
+}
+
+/// Whether the entry node counts no request as in flight.
+fn is_idle(fleet: &Fleet) -> bool {
+    let metrics = get(fleet.edge.operators, "/metrics");
+    let mut counts = metrics
+        .lines()
+        .filter(|line| line.starts_with("jujubeline_in_flight{"));
+    counts.all(|line| line.ends_with(" 0"))
+}
+
+/// Body of about the largest answer that the buffers of system and node hold.
+fn largest_buffered_answer(fleet: &Fleet) -> usize {
+    let (mut buffered, mut in_flight) = (ANSWER_BYTES, MAX_BUFFERED_BYTES);
+    while in_flight - buffered > BUFFERED_STEP_BYTES {
+        let bytes = usize::midpoint(buffered, in_flight);
+        if ask_for_buffered_answer(fleet, bytes).is_some() {
+            buffered = bytes;
+        } else {
+            in_flight = bytes;
+        }
+    }
+    buffered
+}
+
+/// Guards against a stop that ends when all answers are handed to the HTTP server, although callers that read late have not
+/// got what the server still buffers.
+#[test]
+fn buffered_answers_of_a_stopping_node_are_whole() {
+    let mut fleet = Fleet::ready_with_work(Duration::ZERO);
+    let largest = largest_buffered_answer(&fleet);
+    // An answer that still counts as in flight would delay the stop for all.
+    let buffered: Vec<_> = (0..BUFFERED_ANSWERS)
+        .map(|number| largest - number * BUFFERED_STEP_BYTES)
+        .filter_map(|bytes| Some((bytes, ask_for_buffered_answer(&fleet, bytes)?)))
+        .collect();
+    assert!(!buffered.is_empty());
+    terminate(&fleet.edge.child);
+    let stopped = Instant::now();
+    thread::sleep(BUFFERED_READ_DELAY);
+    for (bytes, stream) in buffered {
+        let mut answer = Vec::new();
+        let ended = (&stream).read_to_end(&mut answer);
+        assert!(ended.is_ok(), "{ended:?} after {} of {bytes}", answer.len());
+        let head_end = answer.windows(4).position(|end| end == b"\r\n\r\n");
+        assert_eq!(answer.len() - head_end.unwrap() - 4, bytes);
+    }
+    fleet.edge.log_until_end();
+    assert!(stopped.elapsed() < KILL_AFTER, "{:?}", stopped.elapsed());
+}
+
 /// Guards against a node beside a target that resets the connection of an entry node when it stops, so that the entry
 /// node loses the end of an answer that its caller reads late.
 #[test]
@@ -251,6 +327,85 @@
     assert!(bytes >= body.len(), "{bytes} of {}", body.len());
 }
 
+/// Guards against a stop that resets an HTTP/2 connection on which frames of the caller are unread after GOAWAY.
+#[test]
+fn last_answer_of_an_http2_connection_is_whole() {
+    let mut fleet = Fleet::ready_with_work(WORK);
+    let stream = connect_with_buffer(fleet.edge.callers, RECEIVE_BUFFER_BYTES);
+    let (mut reader, mut writer) = (stream.try_clone().unwrap(), stream);
+    writer.write_all(&http2_request()).unwrap();
+    let pings = thread::spawn(move || {
+        while writer.write_all(&frame(PING, 0, 0, &[0; 8])).is_ok() {
+            thread::sleep(WRITE_GAP / 10);
+        }
+    });
+    thread::sleep(STOP_AFTER);
+    terminate(&fleet.edge.child);
+    // By then the node has sent GOAWAY, which the caller has not read.
+    thread::sleep(BUFFERED_READ_DELAY);
+    reader.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let mut bytes = 0;
+    loop {
+        let mut head = [0; 9];
+        reader.read_exact(&mut head).unwrap();
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+        let mut payload = vec![0; length as usize];
+        reader.read_exact(&mut payload).unwrap();
+        if head[3] == DATA {
+            bytes += payload.len();
+            if head[4] & END_STREAM != 0 {
+                break;
+            }
+        }
+    }
+    assert_eq!(bytes, ANSWER_BYTES);
+    drop(reader);
+    fleet.edge.log_until_end();
+    pings.join().unwrap();
+}
+
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const SETTINGS: u8 = 4;
+const PING: u8 = 6;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
+
+/// A frame (RFC 9113, section 4.1).
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
+    let mut frame = length[1..].to_vec();
+    frame.extend([kind, flags]);
+    frame.extend(stream.to_be_bytes());
+    frame.extend(payload);
+    frame
+}
+
+/// Preface, settings and a request on stream 1, whose fields are neither indexed nor compressed (RFC 7541, section 6.2.2).
+fn http2_request() -> Vec<u8> {
+    let path = format!("{SIZED_PATH}{ANSWER_BYTES}");
+    let fields = [
+        (":method", "GET"),
+        (":scheme", "http"),
+        (":path", path.as_str()),
+        (":authority", "a.example"),
+        ("x-jujubeline-attempt-id", "first"),
+        ("x-jujubeline-deadline-ms", "5000"),
+    ];
+    let mut block = Vec::new();
+    for (name, value) in fields {
+        block.push(0);
+        for text in [name, value] {
+            block.push(u8::try_from(text.len()).unwrap());
+            block.extend(text.as_bytes());
+        }
+    }
+    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+    bytes.extend(frame(SETTINGS, 0, 0, &[]));
+    bytes.extend(frame(HEADERS, END_STREAM | END_HEADERS, 1, &block));
+    bytes
+}
+
 /// Reads the first answer, and then neither reads nor closes.
 fn stays(callers: SocketAddr) {
     let stream = connect_with_buffer(callers, RECEIVE_BUFFER_BYTES);
--- a/crates/node/src/data/data_path.rs
+++ b/crates/node/src/data/data_path.rs
@@ -28,8 +28,8 @@
     tokio_util::task::TaskTracker,
 };
 
-/// Time in which open connections may end on their own before they are aborted. It is part of the second that the
-/// daemon keeps between the end of the grace time and the kill; the rest is for notifying the other nodes of the stop.
+/// Shortest time in which open connections may end on their own before they are aborted. After the end of the grace time
+/// it is part of the second that the daemon keeps until the kill; the rest is for notifying the other nodes of the stop.
 const CLOSE_GRACE: Duration = Duration::from_millis(700);
 
 /// Time before the end of a drain from which calls of the target are refused; at most half of the drain. A call that is
@@ -264,14 +264,18 @@
         timeout(call_reserve, self.exchanges.wait()).await.is_ok()
     }
 
-    /// Closes all connections and waits for all tasks. Exchanges that outlasted the grace time may still complete while
-    /// the connections close.
-    pub async fn close(&self) {
+    /// Closes all connections and waits for all tasks. An exchange has ended when its answer is handed to the HTTP server,
+    /// which may hold a part of it until the caller reads, so connections have what is left of the grace time to end.
+    /// Exchanges that outlasted the grace time may still complete while the connections close.
+    pub async fn close(&self, grace_left: Duration) {
         self.signals.close.cancel();
         self.gate.pool.close();
         self.tasks.close();
         self.gate.decisions.stop();
-        if timeout(CLOSE_GRACE, self.tasks.wait()).await.is_err() {
+        if timeout(grace_left.max(CLOSE_GRACE), self.tasks.wait())
+            .await
+            .is_err()
+        {
             self.signals.cut.cancel();
             self.tasks.wait().await;
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -238,7 +238,8 @@
                 .leave(left.clamp(MIN_LEAVE_TIME, MAX_LEAVE_TIME))
                 .await;
         }
-        self.data.close().await;
+        let grace_left = self.settings.stop_grace.saturating_sub(started.elapsed());
+        self.data.close(grace_left).await;
         drop(self.data);
         // The claims stop before the control plane, because it carries their last reports to shard owners.
         if let Some(claims) = self.claims.and_then(Arc::into_inner) {
