--- a/crates/node/src/data/lingering_close.rs
+++ b/crates/node/src/data/lingering_close.rs
@@ -32,11 +32,11 @@
 pub enum LingerEnd {
     /// The caller closed or reset the connection.
     CallerClosed,
-    /// The caller was still there after [`LINGER_TIMEOUT`].
+    /// The caller was still there at the end of the time limit.
     TimeLimit,
-    /// The caller sent more than [`MAX_DISCARDED_BYTES`].
+    /// The caller sent more than is discarded from one connection.
     ByteLimit,
-    /// [`MAX_LINGERING`] connections lingered already.
+    /// As many connections as may linger did so already.
     ConnectionLimit,
     /// The grace time of the node's stop ended.
     StopEnded,
