Show that a broken-off answer looks complete over HTTP/1.0

While looking for paths related to the close of connections: an answer without a length to a caller of HTTP/1.0 ends with its connection, and the node ends it in the same way when the target breaks off in the middle of the chunks.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -533,6 +533,34 @@
     in_chunks: ("chunked"),
 }
 
+/// Guards against a response that breaks off in its chunks and reaches a client of HTTP/1.0 as a complete success: there
+/// the end of the connection is the end of the body, so only a reset tells that bytes are missing.
+#[test]
+fn response_that_breaks_off_is_reset_over_http10() {
+    let fixture = Fixture::ready();
+    let whole = "HTTP/1.1 200 OK\r\nx-jujubeline-attempt-id: 3b\r\nx-jujubeline-response-seal: s\r\n\
+                 transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    let last_chunk_bytes = "0\r\n\r\n".len();
+    for length in whole.len() - last_chunk_bytes..whole.len() {
+        let mut stream = TcpStream::connect(fixture.daemon.callers).unwrap();
+        let request = format!(
+            "POST /unsafe/chunked/bytes-{length} HTTP/1.0\r\nhost: a.example\r\n\
+             x-jujubeline-attempt-id: 3b\r\nx-jujubeline-deadline-ms: 1500\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut response = Vec::new();
+        let ended = stream.read_to_end(&mut response);
+        let is_success =
+            response.starts_with(b"HTTP/1.0 200") || response.starts_with(b"HTTP/1.1 200");
+        assert!(
+            !is_success || ended.is_err(),
+            "{length} of {} bytes: {}",
+            whole.len(),
+            String::from_utf8_lossy(&response)
+        );
+    }
+}
+
 /// Guards against a node without a configuration that responds with 404 or reports that it is ready for callers.
 #[test]
 fn node_without_configuration_refuses_and_is_not_ready() {
