Keep no buffer for discarded bytes in the state of open connections

Cause: the buffer of 8 KB was alive across an await in the future that closes a connection, which is part of the future of each connection from its start.

Change: one read is a function of its own, so the buffer is on the stack.

--- a/crates/node/src/data/lingering_close.rs
+++ b/crates/node/src/data/lingering_close.rs
@@ -7,7 +7,7 @@
 use {
     rustix::net::Shutdown,
     std::{
-        io::ErrorKind,
+        io::{self, ErrorKind},
         sync::atomic::{AtomicU64, Ordering},
         time::Duration,
     },
@@ -90,7 +90,7 @@
 
     /// Ends the node's side of a connection and reads on until the caller closes, a bound is reached or `stop_ended` is
     /// cancelled. The caller of this function drops the stream afterwards, which closes it.
-    pub(super) async fn close(&self, stream: &TcpStream, stop_ended: &CancellationToken) {
+    pub async fn close(&self, stream: &TcpStream, stop_ended: &CancellationToken) {
         let end = self.read_to_end(stream, stop_ended).await;
         self.counts[end as usize].fetch_add(1, Ordering::Relaxed);
     }
@@ -117,8 +117,7 @@
 async fn discard(stream: &TcpStream) -> LingerEnd {
     let mut discarded = 0;
     while stream.readable().await.is_ok() {
-        let mut buffer = [0; READ_BYTES];
-        match stream.try_read(&mut buffer) {
+        match discard_available(stream) {
             Ok(0) => break,
             Ok(count) => discarded += count,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -132,3 +131,8 @@
     }
     LingerEnd::CallerClosed
 }
+
+/// Reads once. The buffer is not part of the future, for which each open connection keeps room.
+fn discard_available(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; READ_BYTES])
+}
