--- a/review/lib-3/src/fleet.rs
+++ b/review/lib-3/src/fleet.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    pub fn process_id(&self) -> i32 {
+        let process = self.process.as_ref().expect("the node runs");
+        i32::try_from(process.id()).expect("ids of processes fit")
+    }
+
     pub fn is_ready(&self) -> bool {
         call(self.ready, "GET", "/api/ready", "").is_ok_and(|answer| answer.status == 200)
     }
--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and drivers for the scripts of the third review.
 
+mod endless;
 mod fleet;
 mod http;
 mod late_suspect;
@@ -49,6 +50,7 @@
         process::exit(2);
     });
     let verdict = match name.as_str() {
+        "endless" => endless::run(&case),
         "late-suspect" => late_suspect::run(&case),
         "stalled-log" => stalled_log::run(&case),
         _ => Verdict::NotRun,
--- a/review/lib-3/src/server.rs
+++ b/review/lib-3/src/server.rs
@@ -241,6 +241,12 @@
             "request {id} ({path}) reaches server {} and runs",
             self.id
         ));
+        if path.contains("/endless/") {
+            self.send_interim_responses(stream);
+            self.record
+                .line(&format!("the connection of {id} was closed"));
+            return None;
+        }
         let work = path.split('/').find_map(|part| part.strip_prefix("work-"));
         let work = Duration::from_millis(work.and_then(|text| text.parse().ok()).unwrap_or(5));
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -260,6 +266,12 @@
         })
     }
 
+    /// Sends interim responses until the node closes the connection.
+    fn send_interim_responses(&self, mut stream: &TcpStream) {
+        let responses = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".repeat(1_000);
+        while !self.has_ended() && stream.write_all(responses.as_bytes()).is_ok() {}
+    }
+
     /// Works for a time. Returns whether the connection stayed open meanwhile.
     fn work(&self, time: Duration, stream: &TcpStream) -> bool {
         let until = Instant::now() + time;
