--- a/review/lib-3/src/fleet.rs
+++ b/review/lib-3/src/fleet.rs
@@ -5,6 +5,7 @@
     std::{
         fs::File,
         net::{SocketAddr, TcpListener, UdpSocket},
+        os::unix::process::CommandExt,
         process::{Child, Command, Stdio},
         sync::atomic::{AtomicU16, Ordering},
         thread,
@@ -32,6 +33,21 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Asks the system to kill this process when the thread that started it ends, however that happens.
+pub fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: std::ffi::c_ulong = 9;
+    // SAFETY: the call has no effect but the signal.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// A node with the addresses of its machine.
 pub struct Node {
     name: String,
@@ -106,6 +122,8 @@
     /// Starts the node with its logs in the given places.
     pub fn start_with(&mut self, stdout: Stdio, stderr: Stdio, record: &Record) {
         let mut command = self.command();
+        // SAFETY: the call only asks the system to end the new process together with this thread.
+        unsafe { command.pre_exec(end_with_parent) };
         let process = command
             .stdin(Stdio::null())
             .stdout(stdout)
--- a/review/lib-3/src/late_suspect.rs
+++ b/review/lib-3/src/late_suspect.rs
@@ -16,8 +16,9 @@
 /// Time for which the leaving server serves on after that, before it exits.
 const SERVED_ON: Duration = Duration::from_secs(1);
 const DEADLINE_MS: u32 = 6_000;
+const SLOTS: usize = 82;
 const PATH: &str = "/look/work-3000/crate-7";
-const SERVICES: [&str; 2] = ["schedules", "billing"];
+const SERVICES: [&str; 2] = ["batchbook", "payroll"];
 
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
@@ -36,13 +37,14 @@
         Node::new("side-a-1", "dalat-a", SERVICES[0], &store, &case.logs),
         Node::new("side-a-2", "dalat-a", SERVICES[0], &store, &case.logs),
         Node::new("side-b-1", "dalat-b", SERVICES[0], &store, &case.logs),
+        Node::new("side-c-1", "dalat-c", SERVICES[0], &store, &case.logs),
         Node::new("side-a-3", "dalat-a", SERVICES[1], &store, &case.logs),
     ];
     for node in &mut nodes {
         node.start(record);
     }
-    let servers: Vec<_> = (nodes.iter().zip(["i-1", "i-2", "i-far", "i-bill"]))
-        .map(|(node, id)| Server::start(id, node, record))
+    let servers: Vec<_> = (nodes.iter().zip(["i-1", "i-2", "i-3", "i-4", "i-pay"]))
+        .map(|(node, id)| Server::start(id, node, SLOTS, record))
         .collect();
     if !wait_for(|| nodes.iter().all(Node::is_ready)) {
         return Verdict::NotRun;
@@ -52,7 +54,7 @@
     }
     thread::sleep(CONTACT + Duration::from_secs(3));
 
-    let entry = nodes[3].outbound;
+    let entry = nodes[4].outbound;
     let ask = |id: &'static str| {
         let record = record.clone();
         thread::spawn(move || {
--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -35,6 +35,8 @@
 }
 
 fn main() -> ExitCode {
+    // The driver ends with its script, and the nodes with the driver.
+    let _ = fleet::end_with_parent();
     let arguments: Vec<String> = env::args().collect();
     let [_, name, record, logs] = arguments.as_slice() else {
         eprintln!("usage: review-3 CASE RECORD LOGS");
--- a/review/lib-3/src/server.rs
+++ b/review/lib-3/src/server.rs
@@ -22,7 +22,6 @@
 };
 
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_500);
-const SLOTS: usize = 90;
 
 /// A request that reached the server.
 #[derive(Debug, Clone)]
@@ -33,6 +32,7 @@
 
 pub struct Server {
     pub id: String,
+    slots: usize,
     address: SocketAddr,
     service: String,
     control: SocketAddr,
@@ -51,12 +51,13 @@
 
 impl Server {
     /// Starts a server. It sends heartbeats once [`Server::announce`] was called.
-    pub fn start(id: &str, node: &Node, record: &Record) -> Arc<Self> {
+    pub fn start(id: &str, node: &Node, slots: usize, record: &Record) -> Arc<Self> {
         let listener = TcpListener::bind(node.app).expect("the server's port is free");
         listener.set_nonblocking(true).unwrap();
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let server = Arc::new(Self {
             id: id.to_owned(),
+            slots,
             address: node.app,
             service: node.service.clone(),
             control: node.control,
@@ -160,8 +161,8 @@
         };
         let json = format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"z\",\
-             \"slots\":{SLOTS}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
-            self.address, self.born_ms, self.service
+             \"slots\":{}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"coldRemainingMs\":0}}}}",
+            self.address, self.born_ms, self.service, self.slots
         );
         let path = format!("/api/instances/{}/heartbeat", self.id);
         call(self.control, "POST", &path, &json).is_ok_and(|answer| answer.status == 200)
@@ -213,10 +214,11 @@
         } else {
             "200 OK"
         };
-        let (id, running) = (&self.id, self.running.load(Ordering::SeqCst));
+        let (id, slots) = (&self.id, self.slots);
+        let running = self.running.load(Ordering::SeqCst);
         format!(
             "HTTP/1.1 {status}\r\nx-jujubeline-instance-id: {id}\r\n\
-             x-jujubeline-server-load: {running},0,{SLOTS}\r\ncontent-length: 0\r\n\r\n"
+             x-jujubeline-server-load: {running},0,{slots}\r\ncontent-length: 0\r\n\r\n"
         )
     }
 
@@ -257,11 +259,11 @@
             .line(&format!("its run ({id}) {end} at server {}", self.id));
         let body = format!("{} {}", self.service, path);
         let length = body.len();
-        let running = self.running.load(Ordering::SeqCst);
+        let (running, slots) = (self.running.load(Ordering::SeqCst), self.slots);
         is_done.then(|| {
             format!(
                 "HTTP/1.1 200 OK\r\nx-jujubeline-attempt-id: {id}\r\nx-jujubeline-response-seal: {id}.{length}\r\n\
-                 x-jujubeline-server-load: {running},0,{SLOTS}\r\ncontent-length: {length}\r\n\r\n{body}"
+                 x-jujubeline-server-load: {running},0,{slots}\r\ncontent-length: {length}\r\n\r\n{body}"
             )
         })
     }
