--- a/review/lib-3/src/stalled_log.rs
+++ b/review/lib-3/src/stalled_log.rs
@@ -23,14 +23,20 @@
 const TIMEOUT_MS: u32 = 2_000;
 /// Time after the timeout of its route at which a request must have an answer.
 const GRACE: Duration = Duration::from_millis(500);
-/// Requests for routes that never existed, each of which the node logs as refused.
-const UNKNOWN_ROUTES: u32 = 500;
-const UNKNOWN_PERIOD: Duration = Duration::from_millis(50);
+/// A server of `dryloft`: 25 slots, 360 ms of work. It runs 69 requests a second.
+const SLOTS: usize = 25;
+const WORK_MS: u32 = 360;
+/// Many users come at once: 1.7 times as many requests as that for 20 s. Those that are refused are logged.
+const BURST: u32 = 2_340;
+const BURST_PERIOD: Duration = Duration::from_micros(8_500);
+const DEADLINE_MS: u32 = 4_000;
 /// A quick succession of configurations, as in the site's days.
 const CHANGES: u32 = 12;
 const CHANGE_PERIOD: Duration = Duration::from_millis(330);
 const REQUESTS: u32 = 40;
-const SERVICES: [&str; 2] = ["schedules", "billing"];
+/// Time after the burst in which its effects may last by the pages.
+const CALM: Duration = Duration::from_secs(5);
+const SERVICES: [&str; 2] = ["dryloft", "payroll"];
 
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
@@ -68,7 +74,7 @@
         }
     });
     let servers: Vec<_> = (nodes.iter().zip(["i-1", "i-2"]))
-        .map(|(node, id)| Server::start(id, node, record))
+        .map(|(node, id)| Server::start(id, node, SLOTS, record))
         .collect();
     if !wait_for(|| nodes.iter().all(Node::is_ready)) {
         return Verdict::NotRun;
@@ -78,7 +84,7 @@
     }
     thread::sleep(CONTACT + Duration::from_secs(3));
     let entry = nodes[0].outbound;
-    if ask(entry, "look-0", "/look/work-20/x", case) != Some(200) {
+    if ask(entry, "look-0", "/look/work-20/x", case).0 != Some(200) {
         return Verdict::NotRun;
     }
 
@@ -86,14 +92,17 @@
         record.line("the reader of the logs stops reading");
         is_stalled.store(true, Ordering::SeqCst);
     }
-    for number in 0..UNKNOWN_ROUTES {
-        let answer = ask(entry, &format!("none-{number}"), "/never-existed/x", case);
-        if answer != Some(404) {
-            record.line("a request for a route that never existed is not answered with 404");
-            break;
-        }
-        thread::sleep(UNKNOWN_PERIOD);
+    let burst: Vec<_> = (0..BURST)
+        .map(|number| {
+            thread::sleep(BURST_PERIOD);
+            let (case, path) = (case.clone(), format!("/look/work-{WORK_MS}/{number}"));
+            thread::spawn(move || ask(entry, &format!("burst-{number}"), &path, &case))
+        })
+        .collect();
+    for thread in burst {
+        let _ = thread.join();
     }
+    thread::sleep(CALM);
     for change in 1..=CHANGES {
         write(3 + change);
         thread::sleep(CHANGE_PERIOD);
@@ -109,9 +118,14 @@
     let answers: Vec<_> = (asking.into_iter())
         .map(|thread| thread.join().unwrap())
         .collect();
-    let late = answers.iter().filter(|status| status.is_none()).count();
+    let timeout = Duration::from_millis(TIMEOUT_MS.into());
+    let unanswered = answers.iter().filter(|(_, after)| *after > timeout).count();
+    let late = answers
+        .iter()
+        .filter(|(status, _)| status.is_none())
+        .count();
     record.line(&format!(
-        "{late} of {REQUESTS} requests had no answer half a second after the timeoutMs of their route"
+        "of {REQUESTS} requests, {unanswered} had no answer at the timeoutMs of their route, and {late} half a second later"
     ));
     if case.trouble {
         record.line("the reader of the logs reads again");
@@ -119,27 +133,28 @@
         thread::sleep(Duration::from_secs(1));
         ask(entry, "look-last", "/look/work-20/x", case);
     }
-    // All other requests were answered before the timeout, so only these were still unanswered at it.
-    if late > 0 {
+    if late * 2 > unanswered {
         Verdict::Broken
     } else {
         Verdict::Held
     }
 }
 
-/// Sends a request and waits until half a second after the timeout of its route. Returns the status of its answer.
-fn ask(entry: SocketAddr, id: &str, path: &str, case: &Case) -> Option<u16> {
+/// Sends a request and waits until half a second after the timeout of its route. Returns the status of its
+/// answer and the time that passed.
+fn ask(entry: SocketAddr, id: &str, path: &str, case: &Case) -> (Option<u16>, Duration) {
     let limit = Duration::from_millis(TIMEOUT_MS.into()) + GRACE;
     let sent = Instant::now();
-    let request = request("GET", path, id, 6_000);
+    let request = request("GET", path, id, DEADLINE_MS);
     let answer = exchange(entry, request.as_bytes(), limit);
-    let after = sent.elapsed().as_secs_f64();
+    let after = sent.elapsed();
     let status = match &answer {
         Ok(answer) => format!("gets {} after", answer.status),
         Err(error) => format!("has no answer ({error}) after"),
     };
     case.record.line(&format!(
-        "the client of {id} ({path}) {status} {after:.3} s"
+        "the client of {id} ({path}) {status} {:.3} s",
+        after.as_secs_f64()
     ));
-    answer.ok().map(|answer| answer.status)
+    (answer.ok().map(|answer| answer.status), after)
 }
