--- a/review/lib-3/src/endless.rs
+++ b/review/lib-3/src/endless.rs
@@ -68,7 +68,7 @@
         node.start(record);
     }
     let servers: Vec<_> = (nodes.iter().zip(["i-1", "i-2"]))
-        .map(|(node, id)| Server::start(id, node, record))
+        .map(|(node, id)| Server::start(id, node, ENDLESS, record))
         .collect();
     if !wait_for(|| nodes.iter().all(Node::is_ready)) {
         return Verdict::NotRun;
